--- /dev/null
+++ b/chutepin/__init__.py
@@ -0,0 +1,1 @@
+"""chutepin: a node that brokers requests between callers, an executor and the service below."""
--- /dev/null
+++ b/chutepin/facade.py
@@ -0,0 +1,185 @@
+"""The decision module behind three calls: `pick`, `report` and `tick`.
+
+Nothing else in chutepin sees the module's events or actions. Each call hands one event to the module and
+turns its actions into calls on the core, in the order in which the module wrote them.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from enum import Enum
+from typing import Protocol
+
+from poststall import api
+from poststall.logic import Policy
+
+
+class End(Enum):
+    """How a run, a shared answer or a call ended, in the core's words."""
+
+    OK = "ok"
+    ERROR = "error"
+    REFUSED = "refused"  # turned away: proof that it never ran
+    LATE = "late"  # ran out of time
+    UNREACHABLE = "unreachable"  # proof that it never ran
+    BROKEN = "broken"  # outcome unknown
+    CANCELLED = "cancelled"
+    NEVER = "never"  # nothing was started
+
+
+_OUTCOME = {
+    End.OK: api.Outcome.OK, End.ERROR: api.Outcome.ERROR, End.REFUSED: api.Outcome.BUSY,
+    End.LATE: api.Outcome.TIMEOUT, End.UNREACHABLE: api.Outcome.CONNECT_FAILED,
+    End.BROKEN: api.Outcome.RESET, End.CANCELLED: api.Outcome.CANCELLED, End.NEVER: api.Outcome.MOOT}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """A request as the module sees it: no bodies and no connection."""
+
+    id: str
+    cls: str
+    tenant: str | None
+    subject: str | None
+    arrived: float
+    due: float
+    size: float
+    rank: float
+    caller: int
+    again: bool
+    repeats: str | None  # the try that has the key's entry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunEnded:
+    """A run or a shared answer is over."""
+
+    id: str
+    end: End
+    elapsed: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallWanted:
+    """A run stands at a call."""
+
+    id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallEnded:
+    """A call is over."""
+
+    id: str
+    end: End
+    elapsed: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Left:
+    """The caller has gone."""
+
+    id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """The node leaves; all is answered by `stop`."""
+
+    stop: float
+
+
+Report = RunEnded | CallWanted | CallEnded | Left | Drain
+
+
+class Core(Protocol):
+    """What the module can have done. All times are absolute."""
+
+    def run(self, id: str) -> None: ...
+    def stop(self, id: str) -> None: ...
+    def refuse(self, id: str, hold_off: float, terminal: bool) -> None: ...
+    def fail(self, id: str) -> None: ...
+    def call(self, id: str, deadline: float) -> None: ...
+    def skip_call(self, id: str) -> None: ...
+    def keep_key(self, id: str, until: float) -> None: ...
+    def forget_key(self, id: str) -> None: ...
+    def share(self, id: str) -> None: ...
+    def set_health(self, good: bool) -> None: ...
+    def announce(self, value: float) -> None: ...
+    def set_idle(self, after: float) -> None: ...
+    def set_timer(self, token: int, at: float) -> None: ...
+    def remark(self, text: str) -> None: ...
+
+
+class Facade:
+    """One life of the module."""
+
+    def __init__(self, settings: api.Settings, seed: int, core: Core) -> None:
+        self._settings, self._seed, self._core = settings, seed, core
+        self._policy = Policy(settings, seed)
+
+    def start(self, now: float, born: float, cold: bool) -> None:
+        """Begin the life: the executor came up at `born`, cold or warm."""
+        self._policy = Policy(dataclasses.replace(self._settings, cold=cold), self._seed)
+        self._apply(now, self._policy.start(min(born, now)))
+
+    def pick(self, now: float, offer: Offer) -> None:
+        """A request came in."""
+        self._handle(now, api.Request(
+            id=offer.id, cls=offer.cls, unread=max(0.0, now - offer.arrived), size=offer.size,
+            tenant=offer.tenant, key=offer.subject, due=offer.due, rank=offer.rank, caller=offer.caller,
+            repeats=offer.repeats, again=offer.again))
+
+    def report(self, now: float, what: Report) -> None:
+        """What became of a run or a call; a caller has gone; the node leaves."""
+        match what:
+            case RunEnded(id, end, elapsed):
+                self._handle(now, api.Finished(id, _OUTCOME[end], elapsed))
+            case CallWanted(id):
+                self._handle(now, api.CallNeeded(id))
+            case CallEnded(id, end, elapsed):
+                self._handle(now, api.CallReturned(id, _OUTCOME[end], elapsed))
+            case Left(id):
+                self._handle(now, api.CallerGone(id))
+            case Drain(stop):
+                self._handle(now, api.DrainNotice(stop))
+
+    def tick(self, now: float, token: int, gauges: tuple[float, ...]) -> None:
+        """Time passes: a timer that the module set has come due."""
+        self._handle(now, api.TimerFired(token, gauges))
+
+    def _handle(self, now: float, event: api.Event) -> None:
+        self._apply(now, self._policy.handle(now, [event]))
+
+    def _apply(self, now: float, actions: list[api.Action]) -> None:  # noqa: C901  one case an action
+        core = self._core
+        for action in actions:
+            match action:
+                case api.Run(id):
+                    core.run(id)
+                case api.Stop(id):
+                    core.stop(id)
+                case api.Refuse(id, hold_off, terminal):
+                    core.refuse(id, hold_off, terminal)
+                case api.Fail(id):
+                    core.fail(id)
+                case api.Call(id, time_out):
+                    core.call(id, now + time_out)
+                case api.SkipCall(id):
+                    core.skip_call(id)
+                case api.KeepKey(id, keep_for):
+                    core.keep_key(id, now + keep_for)
+                case api.ForgetKey(id):
+                    core.forget_key(id)
+                case api.Share(id):
+                    core.share(id)
+                case api.SetHealth(good):
+                    core.set_health(good)
+                case api.Announce(value):
+                    core.announce(value)
+                case api.IdleTimeout(after):
+                    core.set_idle(after)
+                case api.SetTimer(token, after):
+                    core.set_timer(token, now + after)
+                case api.Log(text):
+                    core.remark(text)
--- /dev/null
+++ b/chutepin/net/__init__.py
@@ -0,0 +1,1 @@
+"""The wires: asyncio streams and their sans-I/O parsers."""
