--- /dev/null
+++ b/chutepin/__main__.py
@@ -0,0 +1,136 @@
+"""Entry of `python -m chutepin`: one node."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+from collections.abc import Awaitable
+
+from .broker import Broker
+from .config import Config, ConfigError, load
+from .net.control import Reporter
+from .net.executor import ExecutorLink, Session
+from .net.records import RecordsService
+from .net.resp import SWEEP, Front
+from .ops import Clock, Counters, Log
+
+STOP_MARGIN = 0.15  # seconds before the process is stopped by which all is answered
+
+
+class LoopAlarm:
+    """The core's one timer on the event loop."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._handle: asyncio.TimerHandle | None = None
+        self._at = 0.0
+        self.broker: Broker | None = None
+
+    def set(self, at: float) -> None:
+        """Tick then."""
+        if self._handle is not None:
+            if self._at == at and not self._handle.cancelled():
+                return
+            self._handle.cancel()
+        loop = asyncio.get_running_loop()
+        self._at = at
+        self._handle = loop.call_at(loop.time() + max(0.0, at - self._clock.now()), self._ring)
+
+    def _ring(self) -> None:
+        self._handle = None
+        assert self.broker is not None
+        self.broker.tick()
+
+
+class Node:
+    """The parts of one node, put together."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.clock = Clock()
+        self.counters = Counters()
+        self.log = Log(self.clock)
+        alarm = LoopAlarm(self.clock)
+        session = Session(self.clock, self.counters, self.log)
+        self.executor = ExecutorLink(config.executor, session, self.counters, self.log)
+        self.records = RecordsService(config.records, self.clock, self.counters, self.log)
+        self.broker = Broker(config.settings, config.seed, self.clock, self.counters, self.log,
+                             self.executor, self.records, alarm)
+        alarm.broker = session.notices = self.records.listener = self.broker
+        self.front = Front(self.broker, self.clock, self.counters, self.log, config.sockets)
+        self._told = asyncio.Event()
+
+    def print_counters(self) -> None:
+        """On request and at exit; never dropped by the rate limit."""
+        dropped = f" log.dropped={self.log.dropped}" if self.log.dropped else ""
+        print(f"chutepin: counters {self.counters.text()}{dropped}", file=sys.stderr, flush=True)
+
+    async def run(self) -> int:
+        """Serve until told to leave, then leave."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._told.set)
+        loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        loop.set_exception_handler(self._failed)
+        try:
+            await self.front.listen(self.config.listen)
+        except OSError as error:
+            raise ConfigError(f"listen: {error.strerror or error}") from None
+        work: list[Awaitable[None]] = [self.executor.run(), self._sweep()]
+        if self.config.control is not None:
+            ready = self._ready
+            work.append(Reporter(self.config.control, self.config.name, ready, self.counters).run())
+        tasks = [asyncio.ensure_future(part) for part in work]
+        self.broker.tick()
+        self.log.line(f"{self.config.name} serves on {self.config.listen.host}:{self.config.listen.port}")
+        await self._told.wait()
+        await self._leave()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.print_counters()
+        return 0
+
+    def _ready(self) -> bool:
+        return self.broker.good and not self._told.is_set()
+
+    def _failed(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        """Guards the node against an error in one connection's handling: the rest serves on."""
+        self.counters.add("errors")
+        self.log.line(f"{context.get('message')}: {context.get('exception')!r}")
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP)
+            self.front.close_idle()
+            self.records.close_idle()
+
+    async def _leave(self) -> None:
+        """Serve through the grace, say goodbye, and go once all is answered and the balancers have closed."""
+        self.log.line("told to leave")
+        stop = self.clock.now() + self.config.stop - STOP_MARGIN
+        self.broker.drain(stop)
+        grace = self.broker.last_arrival or stop
+        while self.clock.now() < min(grace, stop):
+            await asyncio.sleep(0.02)
+        self.front.leave()
+        while self.clock.now() < stop + STOP_MARGIN / 3 and (self.broker.in_hand or self.front.connections):
+            await asyncio.sleep(0.01)
+
+
+def main() -> int:
+    """Start a node; bad configuration is one line and exit code 2."""
+    try:
+        return asyncio.run(Node(load()).run())
+    except ConfigError as error:
+        print(f"chutepin: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        with contextlib.suppress(BrokenPipeError):
+            print("chutepin: interrupted", file=sys.stderr)
+        return 130
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/chutepin/broker.py
@@ -0,0 +1,520 @@
+"""The core: requests, attempts and outcomes, and who is owed an answer. It knows no wire and no stream.
+
+It owns what the decision module leaves to the program: exactly one final answer for each request, the table
+of keys with kept results, timers and counters. What it needs of the outside are the ports below.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from poststall import api
+from poststall.api import Repeat
+
+from . import facade
+from .facade import CallEnded, CallWanted, Drain, End, Facade, Left, Offer, RunEnded
+from .ops import Clock, Counters, Log
+
+MAX_REQUESTS = 2048  # requests in hand; each holds a body of up to 2 KiB
+MAX_KEYS = 8192  # entries of the table of keys; each keeps a result of up to 4 KiB
+KEY_SLACK = 0.1  # seconds that a window is stretched by: an entry may outlive its window, never the reverse
+KEY_GRACE = 5.0  # an entry stays this long after its window, for tries that came in time but are read late
+METER_WAIT = 0.015  # seconds that a timer waits for fresh gauges
+
+
+class Verdict(Enum):
+    """A final answer."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A final answer, with what the caller is told along with it."""
+
+    verdict: Verdict
+    body: bytes = b""
+    hold_off: float = 0.0  # seconds the caller should stay away
+    terminal: bool = False  # no other node should be tried
+    value: float | None = None  # the free value
+
+
+class Caller(Protocol):
+    """Who waits for an answer."""
+
+    def answer(self, answer: Answer) -> None: ...
+
+
+class Executor(Protocol):
+    """Who does the work."""
+
+    def exec(self, id: str, cls: str, body: bytes, repeatable: bool) -> None: ...
+    def kill(self, id: str) -> None: ...
+    def give_back(self, id: str, reply: bytes) -> None: ...
+    def bypass(self, id: str, notice: int) -> None: ...
+    def meter(self) -> bool: ...
+
+
+class Records(Protocol):
+    """The service below. `call` ends in one `Broker.called`, unless it is given up before."""
+
+    def call(self, id: str, deadline: float, body: bytes) -> None: ...
+    def give_up(self, id: str) -> None: ...
+
+
+class Alarm(Protocol):
+    """Has `Broker.tick` called once at this time or soon after; a new time replaces the old one."""
+
+    def set(self, at: float) -> None: ...
+
+
+@dataclass(slots=True)
+class Request:
+    """A request as a front read it."""
+
+    id: str
+    cls: str
+    body: bytes
+    arrived: float
+    due: float  # absolute; after it nobody waits for this try
+    size: float = 0.0
+    tenant: str | None = None
+    subject: str | None = None
+    key: str | None = None  # the same for all tries of one request
+    rank: float = 0.0
+    caller: int = 0
+    again: bool = False
+
+
+class Phase(Enum):
+    """Where an attempt stands."""
+
+    HELD = "held"
+    RUNNING = "running"
+    STOPPED = "stopped"
+    AT_CALL = "at call"
+    CALLING = "calling"
+    SHARING = "sharing"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A request in hand, from its reading until it is answered and its run is over."""
+
+    request: Request
+    caller: Caller
+    repeat: Repeat
+    phase: Phase = Phase.HELD
+    owed: bool = True
+    notice: int = 0
+    call_body: bytes = b""
+    call_since: float = 0.0
+
+
+@dataclass(slots=True)
+class Entry:
+    """One key: which try has it, which one ran, and what came of that."""
+
+    key: str
+    holder: str
+    until: float
+    ran: str | None = None
+    end: End | None = None
+    result: bytes = b""
+    waiting: list[str] = field(default_factory=list)
+
+
+class Broker:
+    """One node. The fronts call `pick` and `gone`, the links the methods below them, the alarm `tick`."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, counters: Counters, log: Log,
+                 executor: Executor, records: Records, alarm: Alarm) -> None:
+        self._clock, self._counters, self._log = clock, counters, log
+        self._executor, self._records, self._alarm = executor, records, alarm
+        self._classes = {cls.name: cls for cls in settings.classes}
+        self._gauge_count = len(settings.gauges)
+        self._grace = settings.drain_grace
+        self._says = settings.signal is not api.Signal.NONE
+        self._facade = Facade(settings, seed, self)
+        self._started = False
+        self._attempts: dict[str, Attempt] = {}
+        self._keys: dict[str, Entry] = {}
+        self._reports: deque[facade.Report] = deque()
+        self._reporting = False
+        self._timers: list[tuple[float, int]] = []
+        self._metered: list[int] = []  # timers that have come due and wait for gauges
+        self._meter_until = 0.0
+        self._gauges: tuple[float, ...] = ()
+        self._sweep_at = 0.0
+        self._last_arrival: float | None = None
+        self._value: float | None = None
+        self.good = True
+        self.idle_after = settings.idle_max
+        self._drain_stop: float | None = None
+
+    # --- for the fronts ---
+
+    @property
+    def value(self) -> float | None:
+        """The free value that goes out with every answer; None where the site uses none."""
+        return self._value
+
+    @property
+    def in_hand(self) -> int:
+        """Requests that are owed an answer."""
+        return sum(attempt.owed for attempt in self._attempts.values())
+
+    @property
+    def classes(self) -> dict[str, api.RequestClass]:
+        """The contracts by class."""
+        return self._classes
+
+    def pick(self, request: Request, caller: Caller) -> None:
+        """A request came in; its caller gets exactly one answer, unless it goes first."""
+        self._counters.add("requests")
+        cls = self._classes.get(request.cls)
+        if cls is None or request.id in self._attempts:
+            # The module takes no class that it was not told of and no id twice; neither is a caller's right.
+            self._counters.add("requests.malformed")
+            self._answer_now(caller, Answer(Verdict.FAILED, value=self._value))
+            return
+        entry = self._entry(request, cls)
+        full = len(self._attempts) >= MAX_REQUESTS or (
+            cls.repeat is Repeat.KEYED and entry is None and len(self._keys) >= MAX_KEYS)
+        if not self._started or full or (cls.repeat is Repeat.KEYED and request.key is None):
+            # Before the executor is up nothing can run; a full table could not keep a run from being
+            # repeated; without a key nothing tells a repeat.
+            self._counters.add("requests.full" if full else "requests.not_taken")
+            self._answer_now(caller, Answer(Verdict.REFUSED, value=self._value))
+            return
+        self._attempts[request.id] = Attempt(request, caller, cls.repeat)
+        offer = Offer(
+            request.id, request.cls, request.tenant, request.subject, request.arrived, request.due,
+            request.size, request.rank, request.caller, request.again,
+            (entry.ran or entry.holder) if entry else None)
+        self._settle(lambda: self._facade.pick(self._clock.now(), offer))
+
+    def gone(self, id: str) -> None:
+        """The caller no longer waits: no answer is owed."""
+        attempt = self._attempts.get(id)
+        if attempt is None or not attempt.owed:
+            return
+        self._counters.add("callers.gone")
+        attempt.owed = False
+        self._report(Left(id))
+
+    def drain(self, stop: float) -> None:
+        """Leave: all that was read is answered by `stop`."""
+        if self._last_arrival is None:
+            self._last_arrival = self._clock.now() + self._grace
+        self._drain_stop = stop
+        if self._started:
+            self._report(Drain(stop))
+
+    @property
+    def last_arrival(self) -> float | None:
+        """What arrives later than this is not run; None while no drain was asked for."""
+        return self._last_arrival
+
+    # --- for the executor's link ---
+
+    def welcome(self, cold: bool, born: float) -> None:
+        """The executor is up; only the first welcome of a life begins it."""
+        if self._started:
+            return
+        self._started = True
+        self._settle(lambda: self._facade.start(self._clock.now(), born, cold))
+        if self._drain_stop is not None:
+            self._report(Drain(self._drain_stop))
+
+    def ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
+        """A run is over."""
+        attempt = self._attempts.get(id)
+        if attempt is None:
+            self._counters.add("runs.unknown")
+            return
+        self._counters.add(f"runs.{end.value}")
+        if attempt.phase is Phase.CALLING:
+            self._records.give_up(id)
+        self._key_ended(attempt, end, result)
+        if end in (End.OK, End.ERROR):
+            self._answer(attempt, Answer(
+                Verdict.SERVED if end is End.OK else Verdict.FAILED, result if end is End.OK else b"",
+                value=self._value))
+        # Reported before it is forgotten: after a cancelled run the module itself fails what is still owed.
+        self._report(RunEnded(id, end, elapsed))
+        self._forget(id)
+
+    def wants_call(self, id: str, notice: int, body: bytes) -> None:
+        """A run stands at a call."""
+        attempt = self._attempts.get(id)
+        if attempt is None:
+            self._counters.add("runs.unknown")
+            return
+        attempt.phase, attempt.notice, attempt.call_body = Phase.AT_CALL, notice, body
+        self._report(CallWanted(id))
+
+    def not_carried_out(self, command: str, id: str) -> None:
+        """The executor did not carry out a command: a run that it never began has not run."""
+        self._counters.add("executor.bad")
+        self._log.line(f"the executor did not carry out {command} {id}")
+        attempt = self._attempts.get(id)
+        if command == "EXEC" and attempt is not None and attempt.phase is Phase.RUNNING:
+            self.ended(id, End.NEVER, 0.0, b"")
+
+    def metered(self, values: tuple[float, ...]) -> None:
+        """Fresh gauges."""
+        if len(values) == self._gauge_count:
+            self._gauges = values
+        self._fire()
+
+    # --- for the records connection ---
+
+    def called(self, id: str, end: End, reply: bytes) -> None:
+        """A call is over; after OK the run goes on with the reply, unchanged."""
+        attempt = self._attempts.get(id)
+        if attempt is None or attempt.phase is not Phase.CALLING:
+            self._counters.add("calls.unknown")
+            return
+        self._counters.add(f"calls.{end.value}")
+        attempt.phase = Phase.AT_CALL
+        if end is End.OK:
+            attempt.phase, attempt.call_body = Phase.RUNNING, b""
+            self._executor.give_back(id, reply)
+        self._report(CallEnded(id, end, self._clock.now() - attempt.call_since))
+
+    # --- time ---
+
+    def tick(self) -> None:
+        """Deliver the timers that have come due, with gauges no older than the wait for fresh ones."""
+        now = self._clock.now()
+        while self._timers and self._timers[0][0] <= now:
+            self._metered.append(heapq.heappop(self._timers)[1])
+            if len(self._metered) == 1:
+                self._meter_until = now + METER_WAIT if self._executor.meter() else now
+        if self._metered and now >= self._meter_until:
+            self._fire()
+        if now >= self._sweep_at:
+            self._sweep_at = now + 1.0
+            self._sweep(now)
+        self._arm()
+
+    def _fire(self) -> None:
+        due, self._metered = self._metered, []
+        for token in due:
+            self._settle(lambda token=token: self._facade.tick(  # type: ignore[misc]
+                self._clock.now(), token, self._gauges))
+
+    def _arm(self) -> None:
+        at = self._timers[0][0] if self._timers else self._clock.now() + 1.0
+        self._alarm.set(min(at, self._meter_until) if self._metered else at)
+
+    # --- what the module has done (facade.Core) ---
+
+    def run(self, id: str) -> None:
+        """Start a held request; a key runs at most once within its window."""
+        attempt = self._attempts[id]
+        request = attempt.request
+        late = self._last_arrival is not None and request.arrived > self._last_arrival
+        if not self._counters.holds(not late, "no run after the grace") or not self._key_runs(attempt):
+            self._reports.append(RunEnded(id, End.NEVER))
+            return
+        attempt.phase = Phase.RUNNING
+        self._counters.add("runs")
+        self._executor.exec(id, request.cls, request.body, attempt.repeat is Repeat.SAFE)
+
+    def stop(self, id: str) -> None:
+        """Stop a run."""
+        attempt = self._attempts.get(id)
+        if attempt is not None and attempt.phase is Phase.RUNNING:
+            attempt.phase = Phase.STOPPED
+            self._executor.kill(id)
+
+    def refuse(self, id: str, hold_off: float, terminal: bool) -> None:
+        """Turn away. BUSY promises that the try never ran: what ran is failed instead."""
+        attempt = self._attempts[id]
+        never = attempt.phase in (Phase.HELD, Phase.SHARING)
+        verdict = Verdict.REFUSED if never else Verdict.FAILED
+        self._answer(attempt, Answer(verdict, b"", hold_off, terminal, self._value))
+
+    def fail(self, id: str) -> None:
+        """Answer with an error; what still runs stays in hand until it ends."""
+        self._answer(self._attempts[id], Answer(Verdict.FAILED, value=self._value))
+
+    def call(self, id: str, deadline: float) -> None:
+        """Make the call that a run stands at."""
+        attempt = self._attempts[id]
+        if self._counters.holds(attempt.phase is Phase.AT_CALL, "call only at a call"):
+            attempt.phase, attempt.call_since = Phase.CALLING, self._clock.now()
+            self._counters.add("calls")
+            self._records.call(id, deadline, attempt.call_body)
+
+    def skip_call(self, id: str) -> None:
+        """Go on without the call."""
+        attempt = self._attempts[id]
+        if self._counters.holds(attempt.phase is Phase.AT_CALL, "skip only at a call"):
+            attempt.phase = Phase.RUNNING
+            self._counters.add("calls.skipped")
+            self._executor.bypass(id, attempt.notice)
+
+    def share(self, id: str) -> None:
+        """Answer with the result of the try that ran, now or once it ends."""
+        attempt = self._attempts[id]
+        attempt.phase = Phase.SHARING
+        entry = self._keys.get(attempt.request.key or "")
+        if entry is None:
+            self._share_ends(id, End.ERROR, b"")
+        elif entry.end is not None:
+            self._share_ends(id, entry.end, entry.result)
+        else:
+            entry.waiting.append(id)
+
+    def set_health(self, good: bool) -> None:
+        """How health checks are answered from now on."""
+        self.good = good
+
+    def announce(self, value: float) -> None:
+        """The free value from now on."""
+        self._value = value if self._says else None
+
+    def set_idle(self, after: float) -> None:
+        """Close connections that were idle this long."""
+        self.idle_after = after
+
+    def set_timer(self, token: int, at: float) -> None:
+        """Tick at this time."""
+        heapq.heappush(self._timers, (at, token))
+        self._arm()
+
+    def remark(self, text: str) -> None:
+        """A line of the module for the log."""
+        self._log.line(text)
+
+    # --- answers ---
+
+    def _answer(self, attempt: Attempt, answer: Answer) -> None:
+        """The one place where a request in hand is answered; a second answer is dropped."""
+        if not attempt.owed:
+            return
+        attempt.owed = False
+        self._answer_now(attempt.caller, answer)
+        if attempt.phase in (Phase.HELD, Phase.SHARING):
+            self._forget(attempt.request.id)
+
+    def _answer_now(self, caller: Caller, answer: Answer) -> None:
+        self._counters.add(f"answers.{answer.verdict.value}")
+        caller.answer(answer)
+
+    def _forget(self, id: str) -> None:
+        attempt = self._attempts.pop(id, None)
+        if attempt is not None and not self._counters.holds(not attempt.owed, "answered before forgotten"):
+            self._answer_now(attempt.caller, Answer(Verdict.FAILED, value=self._value))
+
+    def _report(self, what: facade.Report) -> None:
+        self._reports.append(what)
+        self._settle()
+
+    def _settle(self, step: Callable[[], None] = lambda: None) -> None:
+        """Let the module act, then hand over what its own actions brought about, one after the other.
+
+        The module is never entered while it acts: what a port reports from inside waits its turn here."""
+        if self._reporting:
+            return
+        self._reporting = True
+        try:
+            step()
+            while self._reports:
+                what = self._reports.popleft()
+                self._facade.report(self._clock.now(), what)
+                if isinstance(what, RunEnded):
+                    self._forget(what.id)
+                elif isinstance(what, Left):
+                    attempt = self._attempts.get(what.id)
+                    if attempt is not None and attempt.phase in (Phase.HELD, Phase.SHARING):
+                        self._forget(what.id)
+        finally:
+            self._reporting = False
+
+    # --- the table of keys ---
+
+    def _entry(self, request: Request, cls: api.RequestClass) -> Entry | None:
+        """The entry that this try repeats: one whose window it arrived in, however late it was read."""
+        if cls.repeat is not Repeat.KEYED or request.key is None:
+            return None
+        entry = self._keys.get(request.key)
+        return entry if entry is not None and request.arrived <= entry.until else None
+
+    def keep_key(self, id: str, until: float) -> None:
+        """Enter a try into the table, or hand an entry that never ran over to a newer try."""
+        request = self._attempts[id].request
+        key = request.key or ""
+        entry = self._keys.get(key)
+        if entry is None or (entry.ran is not None and request.arrived > entry.until):
+            entry = self._keys[key] = Entry(key, id, until + KEY_SLACK)
+        entry.until = max(entry.until, until + KEY_SLACK)
+        if entry.ran is None:
+            entry.holder = id
+
+    def forget_key(self, id: str) -> None:
+        """Take an entry out whose try never ran."""
+        attempt = self._attempts.get(id)
+        entry = self._keys.get(attempt.request.key or "") if attempt is not None else None
+        if entry is not None and entry.holder == id and entry.ran is None:
+            self._drop_entry(entry)
+
+    def _key_runs(self, attempt: Attempt) -> bool:
+        """Guards the rule itself: whatever the module decides, no second try of a key runs in the window."""
+        if attempt.repeat is not Repeat.KEYED:
+            return True
+        request = attempt.request
+        entry = self._keys.get(request.key or "")
+        fresh = entry is not None and entry.holder == request.id and entry.ran is None
+        if not self._counters.holds(fresh, "one run a key") or entry is None:
+            return False
+        entry.ran = request.id
+        window = self._classes[request.cls].window
+        entry.until = max(entry.until, request.arrived + window + KEY_SLACK)
+        return True
+
+    def _key_ended(self, attempt: Attempt, end: End, result: bytes) -> None:
+        entry = self._keys.get(attempt.request.key or "")
+        if entry is None or entry.ran != attempt.request.id:
+            return
+        if end is End.NEVER:  # proof that nothing was started: a further try may run
+            self._drop_entry(entry)
+            return
+        entry.end, entry.result = (End.OK, result) if end is End.OK else (End.ERROR, b"")
+        waiting, entry.waiting = entry.waiting, []
+        for id in waiting:
+            self._share_ends(id, entry.end, entry.result)
+
+    def _drop_entry(self, entry: Entry) -> None:
+        del self._keys[entry.key]
+        for id in entry.waiting:
+            self._share_ends(id, End.ERROR, b"")
+
+    def _share_ends(self, id: str, end: End, result: bytes) -> None:
+        attempt = self._attempts.get(id)
+        if attempt is None or not attempt.owed:
+            return
+        self._counters.add("answers.shared")
+        self._answer(attempt, Answer(
+            Verdict.SERVED if end is End.OK else Verdict.FAILED, result, value=self._value))
+        self._reports.append(RunEnded(id, end))
+
+    def _sweep(self, now: float) -> None:
+        """Drop entries whose window is over, unless their run still goes on."""
+        for entry in [e for e in self._keys.values() if e.until + KEY_GRACE < now]:
+            if entry.ran is None and entry.holder in self._attempts:
+                continue
+            if entry.ran is not None and entry.end is None and entry.ran in self._attempts:
+                continue
+            self._drop_entry(entry)
+        self._settle()
--- /dev/null
+++ b/chutepin/net/control.py
@@ -0,0 +1,77 @@
+"""Reports to the control plane: HTTP/1.1 by h11, one call a second on a connection that is kept."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import h11
+
+from ..config import Address
+from ..ops import Counters
+
+EVERY = 1.0  # seconds; a node is dropped 3 s after its last report
+ANSWER_BY = 1.0  # seconds after its start at which a report is given up
+MAX_ANSWER = 16 * 1024
+
+
+class Reporter:
+    """Keeps the node listed: `Ready` while it is well and takes requests."""
+
+    def __init__(self, address: Address, name: str, ready: Callable[[], bool], counters: Counters) -> None:
+        self._address, self._name, self._ready, self._counters = address, name, ready, counters
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def run(self) -> None:
+        """Report until cancelled. No answer or a wrong one costs only this report."""
+        loop = asyncio.get_running_loop()
+        while True:
+            began = loop.time()
+            try:
+                async with asyncio.timeout_at(began + ANSWER_BY):
+                    status = await self._report()
+                self._counters.add("control.reports" if status == 204 else "control.rejected")
+            except (OSError, TimeoutError, h11.ProtocolError, EOFError):
+                self._counters.add("control.failed")
+                self._close()
+            await asyncio.sleep(max(0.0, began + EVERY - loop.time()))
+
+    async def _report(self) -> int:
+        if self._streams is None:
+            self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER)
+            self._streams = await asyncio.open_connection(self._address.host, self._address.port)
+        reader, writer = self._streams
+        body = json.dumps({"condition": "Ready" if self._ready() else "NotReady"}).encode()
+        request = h11.Request(method="PUT", target=f"/v2/endpoints/{self._name}", headers=[
+            ("Host", f"{self._address.host}:{self._address.port}"), ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body)))])
+        for event in (request, h11.Data(data=body), h11.EndOfMessage()):
+            writer.write(self._http.send(event) or b"")
+        await writer.drain()
+        status, size = 0, 0
+        while True:
+            answer = self._http.next_event()
+            if answer is h11.NEED_DATA:
+                data = await reader.read(4096)
+                size += len(data)
+                if size > MAX_ANSWER:
+                    raise h11.RemoteProtocolError("the answer is too long")
+                self._http.receive_data(data)
+            elif isinstance(answer, h11.Response):
+                status = answer.status_code
+            elif isinstance(answer, h11.EndOfMessage):
+                break
+            elif isinstance(answer, h11.ConnectionClosed):
+                raise EOFError
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+        else:
+            self._close()
+        return status
+
+    def _close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+            self._streams = None
--- /dev/null
+++ b/chutepin/net/executor.py
@@ -0,0 +1,223 @@
+"""The link to the executor: commands out, numbered notices in, both kept whole over a lost link.
+
+A command that was written to a link is confirmed once a `METERS` answers a later `METER` of the same link:
+the executor reads in order. What was not confirmed when the link broke may or may not have been read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..config import Address
+from ..facade import End
+from ..ops import Clock, Counters, Log
+from .lines import LineParser, ProtocolError, line, number, word
+
+MAX_BODY = 64 * 1024
+MAX_BACKLOG = 8 * 2**20  # bytes that a link may owe the executor before it is given up
+AGAIN_AFTER = 0.02  # seconds between attempts to connect, doubled up to ...
+AGAIN_AT_MOST = 0.5
+_ENDS = {"complete": End.OK, "error": End.ERROR, "cancelled": End.CANCELLED, "unknown": End.NEVER}
+
+
+class Notices(Protocol):
+    """Who hears the executor."""
+
+    def welcome(self, cold: bool, born: float) -> None: ...
+    def ended(self, id: str, end: End, elapsed: float, result: bytes) -> None: ...
+    def wants_call(self, id: str, notice: int, body: bytes) -> None: ...
+    def not_carried_out(self, command: str, id: str) -> None: ...
+    def metered(self, values: tuple[float, ...]) -> None: ...
+
+
+@dataclass(slots=True)
+class Command:
+    """A command that is not confirmed."""
+
+    id: str
+    data: bytes
+    again: bool  # may be written twice
+    written: bool = False
+    mark: int = 0  # the METER that confirms it
+
+
+class Session:
+    """The protocol without the socket: what to write for each command and what each notice means.
+
+    Guards against notices lost or taken twice (by number) and against commands lost with a link."""
+
+    def __init__(self, clock: Clock, counters: Counters, log: Log) -> None:
+        self._clock, self._counters, self._log = clock, counters, log
+        self.notices: Notices | None = None
+        self._parser = self._new_parser()
+        self._last = 0
+        self._meters = 0
+        self._commands: list[Command] = []
+        self._welcomed = False
+        self._sync = -1  # the METER whose answer shows that all missed notices were read
+        self.send: Callable[[bytes], None] | None = None
+
+    @staticmethod
+    def _new_parser() -> LineParser:
+        return LineParser(lambda words: words[0] in ("EXIT", "CALLOUT"), MAX_BODY)
+
+    @property
+    def synced(self) -> bool:
+        """Commands go out at once."""
+        return self.send is not None and self._welcomed and self._sync < 0
+
+    def connected(self, send: Callable[[bytes], None]) -> None:
+        """A new link: join where the last one ended."""
+        self.send, self._welcomed, self._sync = send, False, -1
+        self._parser = self._new_parser()
+        send(line("JOIN", self._last))
+
+    def lost(self) -> None:
+        """The link is gone. What may have been read and must not be read twice is not written again."""
+        self.send, self._welcomed, self._sync = None, False, -1
+        self._commands = [command for command in self._commands if command.again or not command.written]
+
+    def command(self, id: str, data: bytes, again: bool) -> None:
+        """Write a command, now or once the link is back."""
+        command = Command(id, data, again)
+        self._commands.append(command)
+        if self.synced:
+            self._write(command)
+
+    def meter(self) -> bool:
+        """Ask for the gauges; false where nobody can answer now."""
+        if self.send is None or not self._welcomed:
+            return False
+        self._meters += 1
+        self.send(line("METER", self._meters))
+        return True
+
+    def _write(self, command: Command) -> None:
+        assert self.send is not None
+        command.written, command.mark = True, self._meters + 1
+        self.send(command.data)
+
+    def received(self, data: bytes) -> None:
+        """Take in what the executor wrote."""
+        self._parser.feed(data)
+        while (message := self._parser.next()) is not None:
+            self._message(*message)
+
+    def _message(self, words: list[str], body: bytes) -> None:
+        assert self.notices is not None
+        match words[0]:
+            case "WELCOME":
+                born = self._clock.now() - number(words, 2) / 1000
+                self._welcomed, self._sync = True, self._meters + 1
+                self.notices.welcome(word(words, 1) == "chilly", born)
+                self.meter()
+            case "EXIT":
+                end, elapsed = _ENDS.get(word(words, 3), End.ERROR), number(words, 4) / 1000
+                if self._new(int(number(words, 1))):
+                    self._settled(words[2])
+                    self.notices.ended(words[2], end, elapsed, body)
+            case "CALLOUT":
+                notice = int(number(words, 1))
+                if self._new(notice):
+                    self._settled(word(words, 2))
+                    self.notices.wants_call(words[2], notice, body)
+            case "METERS":
+                self._metered(int(number(words, 1)), tuple(number(words, i) for i in range(2, len(words))))
+            case "BAD":
+                self.notices.not_carried_out(word(words, 1), words[2] if len(words) > 2 else "")
+            case "LOG":
+                if self._new(int(number(words, 1))):
+                    self._log.line("executor: " + " ".join(words[2:]))
+            case _:
+                raise ProtocolError(f"unknown notice {words[0][:20]}")
+
+    def _settled(self, id: str) -> None:
+        """A notice shows that earlier commands for this run were read, or no longer matter."""
+        self._commands = [command for command in self._commands if command.id != id]
+
+    def _new(self, number: int) -> bool:
+        """Each notice is taken once; a gap is counted (the executor keeps only the last 4,000)."""
+        if number <= self._last:
+            self._counters.add("executor.notices_again")
+            return False
+        if number > self._last + 1:
+            self._counters.add("executor.notices_missed", number - self._last - 1)
+        self._last = number
+        self._counters.add("executor.notices")
+        return True
+
+    def _metered(self, mark: int, values: tuple[float, ...]) -> None:
+        assert self.notices is not None
+        self._commands = [c for c in self._commands if not c.written or c.mark > mark]
+        if mark >= self._sync >= 0:
+            self._sync = -1
+            for command in self._commands:
+                self._write(command)
+        self.notices.metered(values)
+
+
+class ExecutorLink:
+    """Keeps one link to the executor open for the life of the node."""
+
+    def __init__(self, address: Address, session: Session, counters: Counters, log: Log) -> None:
+        self._address, self._session, self._counters, self._log = address, session, counters, log
+
+    def exec(self, id: str, cls: str, body: bytes, repeatable: bool) -> None:
+        """Run a request. What must not run twice is not written twice: its end or due time decides."""
+        self._session.command(id, line("EXEC", id, cls, body=body), repeatable)
+
+    def kill(self, id: str) -> None:
+        """Stop a run."""
+        self._session.command(id, line("KILL", id), True)
+
+    def give_back(self, id: str, reply: bytes) -> None:
+        """The reply to the call that a run waits for."""
+        self._session.command(id, line("RETURN", id, body=reply), True)
+
+    def bypass(self, id: str, notice: int) -> None:
+        """Go on without the call."""
+        self._session.command(id, line("BYPASS", id, notice), True)
+
+    def meter(self) -> bool:
+        """Ask for the gauges."""
+        return self._session.meter()
+
+    async def run(self) -> None:
+        """Connect, and again whenever the link is lost, until cancelled."""
+        pause = AGAIN_AFTER
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(self._address.host, self._address.port)
+            except OSError:
+                self._counters.add("executor.refused")
+            else:
+                pause = AGAIN_AFTER
+                try:
+                    await self._serve(reader, writer)
+                finally:
+                    self._session.lost()
+                    writer.transport.abort()
+                self._counters.add("executor.lost")
+                self._log.line("the executor's link is lost")
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, AGAIN_AT_MOST)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        def send(data: bytes) -> None:
+            writer.write(data)
+            if writer.transport.get_write_buffer_size() > MAX_BACKLOG:
+                self._counters.add("executor.stuck")
+                writer.transport.abort()
+
+        self._session.connected(send)
+        try:
+            while data := await reader.read(65536):
+                self._session.received(data)
+        except OSError as error:
+            self._log.line(f"executor: {error}")
+        except ProtocolError as error:
+            self._counters.add("executor.malformed")
+            self._log.line(f"executor: {error}")
--- /dev/null
+++ b/chutepin/net/resp.py
@@ -0,0 +1,281 @@
+"""The platform's front: balancers' requests as RESP arrays of bulk strings. All rules are the core's."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..broker import Answer, Broker, Request, Verdict
+from ..config import Address
+from ..ops import Clock, Counters, Log
+from .lines import ProtocolError
+
+MAX_ITEMS = 8  # bulk strings in an array
+MAX_BULK = 4096  # bytes in a bulk string
+MAX_BODY = 2048
+MAX_OPEN = 64  # requests open on one connection; balancers keep to 32
+MAX_UNSENT = 192 * 1024  # bytes that a balancer may leave unread: 32 answers of the greatest size fit
+MAX_UNSENT_ALL = 24 * 2**20  # the same for all connections together
+SWEEP = 0.5  # seconds between looks at idle connections
+BYE_GRACE = 2.0  # seconds that a balancer has to close an idle connection once told
+_WORDS = {Verdict.SERVED: b"OK", Verdict.REFUSED: b"BUSY", Verdict.FAILED: b"FAILED"}
+
+
+class RespParser:
+    """Feed it bytes, take whole arrays. Sans-I/O; holds one bounded array and what was fed."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._items: list[bytes] = []
+        self._missing = 0  # items of the present array that are yet to come
+        self._length = -1  # of the present item, once its head was read
+
+    def feed(self, data: bytes) -> None:
+        """Add what was read."""
+        self._buffer += data
+
+    def next(self) -> list[bytes] | None:
+        """The next whole array, or None until more is fed."""
+        while True:
+            if not self._missing:
+                count = self._head(b"*", MAX_ITEMS)
+                if count is None:
+                    return None
+                if count == 0:
+                    raise ProtocolError("an empty array")
+                self._missing, self._items = count, []
+            if self._length < 0:
+                length = self._head(b"$", MAX_BULK)
+                if length is None:
+                    return None
+                self._length = length
+            if len(self._buffer) < self._length + 2:
+                return None
+            item = bytes(self._buffer[:self._length + 2])
+            del self._buffer[:self._length + 2]
+            if not item.endswith(b"\r\n"):
+                raise ProtocolError("a bulk string does not end where its length says")
+            self._items.append(item[:-2])
+            self._length = -1
+            self._missing -= 1
+            if not self._missing:
+                return self._items
+
+    def _head(self, mark: bytes, most: int) -> int | None:
+        if self._buffer and self._buffer[:1] != mark:
+            raise ProtocolError("not an array of bulk strings")
+        end = self._buffer.find(b"\r\n", 0, 10)
+        if end < 0:
+            if len(self._buffer) >= 10:
+                raise ProtocolError("a length is too long")
+            return None
+        digits = bytes(self._buffer[1:end])
+        if not digits.isdigit() or int(digits) > most:
+            raise ProtocolError("a length is no number or too large")
+        del self._buffer[:end + 2]
+        return int(digits)
+
+
+def array(*items: bytes) -> bytes:
+    """A RESP array of bulk strings."""
+    return b"*%d\r\n" % len(items) + b"".join(b"$%d\r\n%b\r\n" % (len(item), item) for item in items)
+
+
+BYE = array(b"0", b"BYE")
+
+
+def number(raw: str, most: float = 2.0**53) -> float:
+    """A plain decimal number of 0 or more."""
+    if not raw.replace(".", "", 1).isdigit() or not raw.isascii() or len(raw) > 24 or float(raw) > most:
+        raise ProtocolError("a field is no number")
+    return float(raw)
+
+
+def parse_call(items: list[bytes]) -> Request:
+    """`RPC.CALL TAG CLASS FIELDS BODY`."""
+    if len(items) not in (4, 5):
+        raise ProtocolError("a call has five parts")
+    try:
+        cls, head = items[2].decode("ascii"), items[3].decode("ascii")
+    except UnicodeDecodeError:
+        raise ProtocolError("a call's head is not ASCII") from None
+    fields = dict(part.partition("=")[::2] for part in head.split(","))
+    id = fields.get("i", "")
+    if len(id) != 16 or not set(id) <= set("0123456789abcdef"):
+        raise ProtocolError("a call without a sound id")
+    body = items[4] if len(items) == 5 else b""
+    if len(body) > MAX_BODY:
+        raise ProtocolError("a body is too long")
+    arrived, wait = number(fields.get("s", "")) / 1000, number(fields.get("d", "")) / 1000
+    key = fields.get("k")
+    if key is not None and len(key) > 64:
+        raise ProtocolError("a key is too long")
+    return Request(
+        id=id, cls=cls, body=body, arrived=arrived, due=arrived + wait,
+        size=number(fields.get("m", "0"), 1e6), tenant=fields.get("t"), subject=fields.get("o"), key=key,
+        rank=number(fields.get("p", "0")), caller=int(number(fields.get("f", "0"))),
+        again=fields.get("r") == "1")
+
+
+def format_answer(tag: bytes, answer: Answer) -> bytes:
+    """`TAG WORD FIELDS BODY`."""
+    fields = []
+    if answer.value is not None:
+        fields.append(f"v={answer.value:.6g}")
+    if answer.verdict is Verdict.REFUSED:
+        if answer.hold_off > 0:
+            fields.append(f"w={max(1, round(answer.hold_off * 1000))}")
+        if answer.terminal:
+            fields.append("l=1")
+    return array(tag, _WORDS[answer.verdict], ",".join(fields).encode(), answer.body)
+
+
+@dataclass(slots=True)
+class Connection:
+    """One balancer's connection: the protocol's state, and how to write. No socket in here."""
+
+    front: Front
+    write: Callable[[bytes], None]
+    parser: RespParser = field(default_factory=RespParser)
+    open: dict[bytes, str] = field(default_factory=dict)  # tag: request
+    last_used: float = 0.0
+    checks: bool = False  # it carries health checks
+    bye_at: float | None = None
+    closing: bool = False  # reads no more; closes once nothing is open
+
+    def received(self, data: bytes) -> None:
+        """Take in bytes; what is malformed ends the reading, and what was read before it is answered."""
+        self.parser.feed(data)
+        try:
+            while not self.closing and (items := self.parser.next()) is not None:
+                self.front.message(self, items)
+        except ProtocolError as error:
+            self.front.counters.add("balancers.malformed")
+            self.front.log.line(f"a balancer's connection: {error}")
+            self.closing = True
+
+    def answer(self, tag: bytes, answer: Answer) -> None:
+        """Write the one answer to a tag, unless the caller has gone."""
+        if self.open.pop(tag, None) is not None:
+            self.write(format_answer(tag, answer))
+
+    def bye(self, now: float) -> None:
+        """Ask the balancer to send nothing more here and to close."""
+        if self.bye_at is None:
+            self.bye_at = now
+            self.write(BYE)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Who gets a request's answer: a tag on a connection."""
+
+    connection: Connection
+    tag: bytes
+
+    def answer(self, answer: Answer) -> None:
+        """Pass it on."""
+        self.connection.answer(self.tag, answer)
+
+
+class Front:
+    """All balancers' connections and what their messages mean."""
+
+    def __init__(self, broker: Broker, clock: Clock, counters: Counters, log: Log, sockets: int) -> None:
+        self.broker, self.clock, self.counters, self.log = broker, clock, counters, log
+        self.max_connections = max(8, sockets * 5 // 8)
+        self.connections: dict[int, Connection] = {}
+        self._server: asyncio.Server | None = None
+        self._transports: dict[int, asyncio.WriteTransport] = {}
+
+    def message(self, connection: Connection, items: list[bytes]) -> None:
+        """One array from a balancer."""
+        if len(items) < 2 or not items[1].isdigit() or len(items[1]) > 19:
+            raise ProtocolError("no tag")
+        verb, tag = items[0], items[1]
+        connection.last_used = self.clock.now()
+        if verb == b"RPC.CALL":
+            if tag in connection.open or len(connection.open) >= MAX_OPEN:
+                raise ProtocolError("a tag that is open, or too many")
+            request = parse_call(items)
+            connection.open[tag] = request.id
+            self.broker.pick(request, Reply(connection, tag))
+        elif verb == b"RPC.CANCEL":
+            self.counters.add("cancels")
+            if (id := connection.open.pop(tag, None)) is not None:
+                self.broker.gone(id)
+        elif verb == b"RPC.HEALTH":
+            self.counters.add("checks")
+            connection.checks = True
+            value = self.broker.value
+            fields = b"" if value is None else f"v={value:.6g}".encode()
+            connection.write(array(tag, b"UP" if self.broker.good else b"DOWN", fields))
+        else:
+            raise ProtocolError("an unknown verb")
+
+    # --- sockets ---
+
+    async def listen(self, address: Address) -> None:
+        """Accept balancers on this address."""
+        self._server = await asyncio.start_server(self._accepted, address.host, address.port, limit=65536)
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self.connections) >= self.max_connections:
+            self.counters.add("balancers.too_many")
+            writer.transport.abort()
+            return
+        transport = writer.transport
+        connection = Connection(self, lambda data: self._write(connection, transport, data),
+                                last_used=self.clock.now())
+        self.connections[id(connection)] = connection
+        self._transports[id(connection)] = transport
+        self.counters.add("balancers.connections")
+        try:
+            while not connection.closing and (data := await reader.read(16384)):
+                connection.received(data)
+            connection.closing = True
+            # An end of what the balancer sends is no end of its waiting: what was read is still answered.
+            while connection.open and not transport.is_closing():
+                await asyncio.sleep(0.05)
+        except OSError:
+            self.counters.add("balancers.reset")
+        finally:
+            del self.connections[id(connection)], self._transports[id(connection)]
+            for request in connection.open.values():
+                self.broker.gone(request)
+            connection.open.clear()
+            writer.close()
+
+    def _write(self, connection: Connection, transport: asyncio.WriteTransport, data: bytes) -> None:
+        """Guards memory against balancers that do not read: past the bounds their connection is dropped."""
+        if transport.is_closing():
+            return
+        transport.write(data)
+        unsent = transport.get_write_buffer_size()
+        if unsent <= 16384:
+            return
+        if unsent > MAX_UNSENT or sum(t.get_write_buffer_size() for t in self._transports.values()) \
+                > MAX_UNSENT_ALL:
+            self.counters.add("balancers.stuck")
+            transport.abort()
+
+    def close_idle(self) -> None:
+        """Say goodbye on connections that were idle as long as the module allows; close those that stay."""
+        now = self.clock.now()
+        for key, connection in list(self.connections.items()):
+            if connection.open or connection.checks:
+                continue
+            if connection.bye_at is not None:
+                if now - connection.bye_at > BYE_GRACE:
+                    self._transports[key].close()
+            elif now - connection.last_used > max(self.broker.idle_after, SWEEP):
+                self.counters.add("balancers.idle")
+                connection.bye(now)
+
+    def leave(self) -> None:
+        """Take no new connections and ask that nothing more be sent on the open ones."""
+        if self._server is not None:
+            self._server.close()
+        for connection in self.connections.values():
+            connection.bye(self.clock.now())
