--- a/chutepin/__main__.py
+++ b/chutepin/__main__.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import contextlib
 import signal
 import sys
 from collections.abc import Awaitable
+from typing import TYPE_CHECKING
 
 from .broker import Broker
-from .config import Config, ConfigError, load
+from .config import AmqpConfig, Config, ConfigError, load, load_amqp
 from .net.control import Reporter
 from .net.executor import ExecutorLink, Session
 from .net.records import RecordsService
 from .net.resp import SWEEP, Front
 from .ops import Clock, Counters, Log
 
+if TYPE_CHECKING:
+    from .net.amqp import Consumer
+
 STOP_MARGIN = 0.15  # seconds before the process is stopped by which all is answered
 
 
@@ -47,7 +52,7 @@
 class Node:
     """The parts of one node, put together."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, amqp: AmqpConfig | None = None) -> None:
         self.config = config
         self.clock = Clock()
         self.counters = Counters()
@@ -60,6 +65,11 @@
                              self.executor, self.records, alarm)
         alarm.broker = session.notices = self.records.listener = self.broker
         self.front = Front(self.broker, self.clock, self.counters, self.log, config.sockets)
+        self.consumer: Consumer | None = None
+        if amqp is not None:
+            # Loaded only where an operator turns the front on: the platform's nodes need no codec for it.
+            from .net.amqp import Consumer
+            self.consumer = Consumer(amqp, self.broker, self.clock, self.counters, self.log, config.seed)
         self._told = asyncio.Event()
 
     def print_counters(self) -> None:
@@ -81,6 +91,8 @@
         if self.config.control is not None:
             ready = self._ready
             work.append(Reporter(self.config.control, self.config.name, ready, self.counters).run())
+        if self.consumer is not None:
+            work.append(self.consumer.run())
         tasks = [asyncio.ensure_future(part) for part in work]
         self.broker.tick()
         self.log.line(f"{self.config.name} serves on {self.config.listen.host}:{self.config.listen.port}")
@@ -111,18 +123,27 @@
         self.log.line("told to leave")
         stop = self.clock.now() + self.config.stop - STOP_MARGIN
         self.broker.drain(stop)
+        if self.consumer is not None:
+            self.consumer.leave()
         grace = self.broker.last_arrival or stop
         while self.clock.now() < min(grace, stop):
             await asyncio.sleep(0.02)
         self.front.leave()
-        while self.clock.now() < stop + STOP_MARGIN / 3 and (self.broker.in_hand or self.front.connections):
+        while self.clock.now() < stop + STOP_MARGIN / 3 and (
+                self.broker.in_hand or self.front.connections
+                or (self.consumer is not None and not self.consumer.settled)):
             await asyncio.sleep(0.01)
 
 
 def main() -> int:
     """Start a node; bad configuration is one line and exit code 2."""
+    arguments = argparse.ArgumentParser(prog="chutepin", description="One node, set up by LB_CONFIG.")
+    arguments.add_argument("--amqp", metavar="FILE", help="consume the queues that this TOML file names")
+    options = arguments.parse_args()
     try:
-        return asyncio.run(Node(load()).run())
+        config = load()
+        amqp = load_amqp(options.amqp, config.settings) if options.amqp else None
+        return asyncio.run(Node(config, amqp).run())
     except ConfigError as error:
         print(f"chutepin: {error}", file=sys.stderr)
         return 2
--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -91,6 +91,8 @@
     rank: float = 0.0
     caller: int = 0
     again: bool = False
+    watched: bool = True  # the executor sees for itself when the request is over
+    remembered: float = 0.0  # seconds that a key is remembered at least, from the arrival
 
 
 class Phase(Enum):
@@ -208,6 +210,7 @@
             return
         self._counters.add("callers.gone")
         attempt.owed = False
+        self._end_unwatched(attempt)
         self._report(Left(id))
 
     def drain(self, stop: float) -> None:
@@ -260,6 +263,7 @@
             return
         attempt.phase, attempt.notice, attempt.call_body = Phase.AT_CALL, notice, body
         self._report(CallWanted(id))
+        self._end_unwatched(attempt)
 
     def not_carried_out(self, command: str, id: str) -> None:
         """The executor did not carry out a command: a run that it never began has not run."""
@@ -405,9 +409,17 @@
             return
         attempt.owed = False
         self._answer_now(attempt.caller, answer)
+        self._end_unwatched(attempt)
         if attempt.phase in (Phase.HELD, Phase.SHARING):
             self._forget(attempt.request.id)
 
+    def _end_unwatched(self, attempt: Attempt) -> None:
+        """A run at a call ends once its request is over. Where the executor cannot see that (its callers are
+        not on its machine), it is told; else the run would keep its memory and the module its count."""
+        at_call = attempt.phase in (Phase.AT_CALL, Phase.CALLING)
+        if at_call and not attempt.owed and not attempt.request.watched:
+            self._executor.kill(attempt.request.id)
+
     def _answer_now(self, caller: Caller, answer: Answer) -> None:
         self._counters.add(f"answers.{answer.verdict.value}")
         caller.answer(answer)
@@ -479,7 +491,7 @@
         if not self._counters.holds(fresh, "one run a key") or entry is None:
             return False
         entry.ran = request.id
-        window = self._classes[request.cls].window
+        window = max(self._classes[request.cls].window, request.remembered)
         entry.until = max(entry.until, request.arrived + window + KEY_SLACK)
         return True
 
--- a/chutepin/config.py
+++ b/chutepin/config.py
@@ -1,9 +1,10 @@
-"""A node's configuration: the platform's JSON file, checked field by field."""
+"""A node's configuration: the platform's JSON file and the operator's for AMQP, checked field by field."""
 
 from __future__ import annotations
 
 import json
 import os
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -94,6 +95,94 @@
         settings=settings)
 
 
+@dataclass(frozen=True, slots=True)
+class QueueConfig:
+    """One queue, whose it is and which class its messages have."""
+
+    name: str
+    team: str
+    cls: str
+    held_kb: float  # memory that a held message counts for
+
+
+@dataclass(frozen=True, slots=True)
+class AmqpConfig:
+    """The operator's file for the AMQP front."""
+
+    address: Address
+    virtual_host: str
+    user: str
+    password: str
+    heartbeat: int  # seconds
+    prefetch: int
+    max_body: int  # bytes
+    redelivery_window: float  # seconds in which a redelivered work order is known
+    queues: tuple[QueueConfig, ...]
+
+
+def _whole(raw: Any, field: str, most: int) -> int:
+    if isinstance(raw, bool) or not isinstance(raw, int) or not 0 < raw <= most:
+        raise ConfigError(f"{field}: not a whole number from 1 to {most}")
+    return raw
+
+
+def _table(raw: Any, field: str, known: set[str]) -> dict[str, Any]:
+    """An object without misspelt names."""
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{field}: missing or not a table")
+    if unknown := sorted(set(raw) - known):
+        raise ConfigError(f"{field}.{unknown[0]}: unknown")
+    return raw
+
+
+def _queue(raw: Any, field: str, settings: api.Settings) -> QueueConfig:
+    table = _table(raw, field, {"name", "team", "class", "held_kb"})
+    queue = QueueConfig(
+        text(table.get("name"), f"{field}.name"), text(table.get("team"), f"{field}.team"),
+        text(table.get("class"), f"{field}.class"), positive(table.get("held_kb", 32.0), f"{field}.held_kb"))
+    if len(queue.name.encode()) > 255:
+        raise ConfigError(f"{field}.name: over 255 bytes")
+    if queue.cls not in {cls.name for cls in settings.classes}:
+        raise ConfigError(f"{field}.class: no contract of this name")
+    if settings.tenants and queue.team not in {tenant.name for tenant in settings.tenants}:
+        raise ConfigError(f"{field}.team: no team of this name")
+    return queue
+
+
+def parse_amqp(raw: Any, settings: api.Settings, environment: Mapping[str, str]) -> AmqpConfig:
+    """Check the operator's decoded file against the contracts and budgets of the settings."""
+    raw = _table(raw, "amqp", {"broker", "queue"})
+    broker = _table(raw.get("broker"), "broker", {
+        "address", "virtual_host", "user", "password_from", "heartbeat_s", "prefetch", "max_body",
+        "redelivery_window_s"})
+    variable = text(broker.get("password_from", "CHUTEPIN_AMQP_PASSWORD"), "broker.password_from")
+    if variable not in environment:
+        raise ConfigError(f"broker.password_from: {variable} is not set")
+    queues = raw.get("queue")
+    if not isinstance(queues, list) or not 0 < len(queues) <= 100:
+        raise ConfigError("queue: from 1 to 100 are needed")
+    return AmqpConfig(
+        address=address(broker.get("address"), "broker.address"),
+        virtual_host=text(broker.get("virtual_host", "/"), "broker.virtual_host"),
+        user=text(broker.get("user"), "broker.user"), password=environment[variable],
+        heartbeat=_whole(broker.get("heartbeat_s", 10), "broker.heartbeat_s", 3600),
+        prefetch=_whole(broker.get("prefetch", 32), "broker.prefetch", 1024),
+        max_body=_whole(broker.get("max_body", 2048), "broker.max_body", 2048),
+        redelivery_window=positive(broker.get("redelivery_window_s", 900), "broker.redelivery_window_s"),
+        queues=tuple(_queue(q, f"queue.{index}", settings) for index, q in enumerate(queues)))
+
+
+def load_amqp(path: str, settings: api.Settings, environment: Mapping[str, str] = os.environ) -> AmqpConfig:
+    """Read the operator's file."""
+    try:
+        raw = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise ConfigError(f"amqp: {error.strerror or error}") from None
+    except ValueError as error:
+        raise ConfigError(f"amqp: not TOML: {error}") from None
+    return parse_amqp(raw, settings, environment)
+
+
 def load(environment: Mapping[str, str] = os.environ) -> Config:
     """Read the file that `LB_CONFIG` names."""
     path = environment.get("LB_CONFIG")
--- a/poststall/logic.py
+++ b/poststall/logic.py
@@ -126,6 +126,7 @@
         self.mean_aim = sum(cls.aim for cls in s.classes) / len(s.classes)
         self.patience: dict[int, float] = {}  # parts of the deadline that tries may wait: how often, of late
         self.tries = 0.0
+        self.parts: dict[int, float] = {}  # what each caller sent of late
         self.heard: dict[int, float] = {}  # callers, longest silent first: when last heard
         self.returned, self.silent = 3.0, s.idle_max  # callers heard again; seconds that callers were silent
         self.idle = s.idle_max
@@ -229,6 +230,7 @@
         stood = max(0.0, min(self.now, self.moved) - max(job.arrived, self.stood))
         self.unread += 2 * ALPHA * (max(0.0, req.unread - stood) - self.unread)
         self._hear(req.caller)
+        self.parts[req.caller] = self.parts.get(req.caller, 0.0) + 1
         self._push(job.due, "due", job)
         if req.repeats is not None and self._repeat(job, cls):
             return
@@ -695,6 +697,7 @@
         self.cut_spent *= math.exp(-step / MEMORY_OF_CUTS)
         self.cut_work *= math.exp(-step / MEMORY_OF_CUTS)
         fade = math.exp(-step / MEMORY_OF_SERVICE)
+        self.parts = {caller: part * fade for caller, part in self.parts.items() if part > 0.01}
         self.served = [max(1e-3, value * fade) for value in self.served]
         for index, tenant in enumerate(self.settings.tenants):
             rate = tenant.quota / self.settings.servers * UNEVEN
@@ -757,7 +760,9 @@
             work = self.slowness * sum(self.work) / len(self.work)
             room = BACKLOG * self.mean_aim * self.runs.limit / work
             total = (self.runs.limit + self.parked + room) if value else 0.0
-            value = total / self.settings.callers
+            # Callers' traffic is uneven: an even part would turn the busiest away while the others' lies idle.
+            busiest = max(self.parts.values(), default=0.0) / max(1e-9, sum(self.parts.values()))
+            value = total * max(busiest, 1 / self.settings.callers)
         if abs(value - self.announced) > 0.01:
             self.announced = round(value, 3)
             self.out.append(api.Announce(self.announced))
