Calls above a tier that tells no share are not limited; tests of core and node

Cause, poststall/logic.py Policy.__init__: the limit on calls started at the core count and was halved by every long call, also where no share is told (calls_out 0); runs stood parked behind it. Both changes to the module have a test that fails on the inherited text. The core is checked by random steps, the program over sockets between stand-ins.

--- a/poststall/logic.py
+++ b/poststall/logic.py
@@ -133,8 +133,11 @@
         slowness = 1.0 / s.cold_from if s.cold else 1.0
         self.runs = AimdLimit(s.cores, self._ceiling(), slowness, min(self.work))
         calls_cap = max(s.cores, int(s.calls_out * SAFETY)) if s.calls_out else 10**6
-        self.calls = AimdLimit(1, calls_cap, self.mean_aim / 10, self.mean_aim / 10)
-        self.calls.limit = max(s.cores, calls_cap // 4) if s.calls_out else s.cores
+        # A tier below tells no share and turns away what it cannot take: a limit of ours on top would read
+        # the long tail of sound calls as trouble, shrink to one and leave runs parked behind it.
+        calls_floor = 1 if s.calls_out else calls_cap
+        self.calls = AimdLimit(calls_floor, calls_cap, self.mean_aim / 10, self.mean_aim / 10)
+        self.calls.limit = max(calls_floor, s.cores, calls_cap // 4)
         self.call_queue: list[Job] = []
         self.lingering: deque[float] = deque()  # ends of abandoned calls that linger below
         self.calling = self.in_use = self.parked = self.key_count = 0
@@ -230,7 +233,8 @@
         stood = max(0.0, min(self.now, self.moved) - max(job.arrived, self.stood))
         self.unread += 2 * ALPHA * (max(0.0, req.unread - stood) - self.unread)
         self._hear(req.caller)
-        self.parts[req.caller] = self.parts.get(req.caller, 0.0) + 1
+        if req.caller in self.parts or len(self.parts) < CALLERS:
+            self.parts[req.caller] = self.parts.get(req.caller, 0.0) + 1
         self._push(job.due, "due", job)
         if req.repeats is not None and self._repeat(job, cls):
             return
@@ -760,7 +764,7 @@
             work = self.slowness * sum(self.work) / len(self.work)
             room = BACKLOG * self.mean_aim * self.runs.limit / work
             total = (self.runs.limit + self.parked + room) if value else 0.0
-            # Callers' traffic is uneven: an even part would turn the busiest away while the others' lies idle.
+            # Callers' traffic is uneven: an even part turns the busiest away while the others' lies idle.
             busiest = max(self.parts.values(), default=0.0) / max(1e-9, sum(self.parts.values()))
             value = total * max(busiest, 1 / self.settings.callers)
         if abs(value - self.announced) > 0.01:
--- /dev/null
+++ b/tests/test_broker.py
@@ -0,0 +1,179 @@
+"""The core over recording ports: one final answer each, keys, drain; also by random steps."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from chutepin.facade import End
+
+from .helper import STEPS, WINDOW, Core
+
+
+def test_served_with_the_result_unchanged() -> None:
+    core = Core()
+    core.pick("a", "position-push")
+    assert core.ports.done[0] == ("exec", "a", "position-push", b"body of a")
+    core.end("a")
+    assert core.words("a") == ["served"] and core.ports.answers["a"][0].body == b"result of a"
+    core.end("a", End.ERROR)
+    assert core.words("a") == ["served"] and core.counters.counts["runs.unknown"] == 1
+
+
+def test_a_call_goes_out_with_an_absolute_deadline_and_its_reply_goes_back() -> None:
+    core = Core()
+    core.pick("a", wait=2.0)
+    core.broker.wants_call("a", 7, b"ask")
+    (_, _, deadline, body), = [entry for entry in core.ports.done if entry[0] == "call"]
+    assert body == b"ask" and core.hand.time < deadline <= core.hand.time + 2.0
+    core.broker.called("a", End.OK, b"\x00reply")
+    assert core.ports.done[-1] == ("return", "a", b"\x00reply")
+    core.end("a")
+    assert core.words("a") == ["served"]
+
+
+def test_unanswered_work_is_failed_by_its_due_time() -> None:
+    core = Core()
+    core.pick("a", "work-order", key="k", wait=1.0)
+    core.pass_time(1.05)
+    assert core.words("a") == ["failed"]
+    core.end("a")
+    core.pick("b", "work-order", key="k", wait=1.0)
+    assert core.words("b") == ["served"] and core.ports.answers["b"][0].body == b"result of a"
+    assert core.ports.ids("exec") == ["a"]
+
+
+def test_a_repeat_waits_for_the_run_and_gets_its_result() -> None:
+    core = Core()
+    core.pick("a", "work-order", key="k")
+    core.pick("b", "work-order", key="k")
+    core.end("a")
+    assert core.words("a") == core.words("b") == ["served"] and core.ports.ids("exec") == ["a"]
+
+
+def test_a_key_may_run_again_after_its_window_only() -> None:
+    core = Core()
+    core.pick("a", "work-order", key="k")
+    core.end("a")
+    core.pass_time(WINDOW - 0.01)
+    core.pick("b", "work-order", key="k")
+    assert core.ports.ids("exec") == ["a"]
+    core.pass_time(0.5)
+    core.pick("c", "work-order", key="k")
+    assert core.ports.ids("exec") == ["a", "c"]
+
+
+def test_proof_that_nothing_started_frees_the_key() -> None:
+    core = Core()
+    core.pick("a", "work-order", key="k")
+    core.broker.gone("a")
+    core.end("a", End.NEVER)
+    core.pick("b", "work-order", key="k")
+    assert core.ports.ids("exec") == ["a", "b"]
+
+
+def test_nothing_runs_that_came_after_the_grace() -> None:
+    core = Core()
+    core.broker.drain(core.hand.time + 3.0)
+    core.pick("a", "position-push")
+    core.pass_time(0.6)
+    core.pick("b", "position-push")
+    assert core.ports.ids("exec") == ["a"] and core.words("b") == ["refused"]
+    assert core.ports.answers["b"][0].hold_off > 0
+    core.pass_time(2.4)
+    assert core.words("a") == ["failed"]
+
+
+def test_odd_requests_are_answered_and_harm_nothing() -> None:
+    core = Core()
+    core.pick("a", "no-such-class")
+    core.pick("b", "work-order")
+    core.pick("c")
+    first = core.ports.answers["c"] = []
+    core.pick("c")
+    assert core.words("a") == ["failed"] and core.words("b") == ["refused"]
+    assert [answer.verdict.value for answer in first] == ["failed"]
+
+
+def test_a_run_at_a_call_that_the_executor_cannot_see_end_is_stopped() -> None:
+    core = Core()
+    core.pick("a", wait=1.0, watched=False)
+    core.broker.wants_call("a", 1, b"ask")
+    core.pass_time(1.1)
+    assert core.words("a")[0] in ("failed", "served") and core.ports.ids("kill") == ["a"]
+
+
+class Life(RuleBasedStateMachine):
+    """A model of what is owed: against it, any order of arrivals, ends, calls, losses and time."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.core, self.serial = Core(), 0
+        self.live: dict[str, tuple[float, float]] = {}  # id: (arrived, due)
+        self.keys: dict[str, str] = {}
+        self.gone: set[str] = set()
+
+    def some(self, pool: list[str], data: st.DataObject) -> str | None:
+        return data.draw(st.sampled_from(sorted(pool))) if pool else None
+
+    @rule(cls=st.sampled_from(["status-read", "position-push", "work-order"]), key=st.integers(0, 3),
+          wait=st.floats(0.05, 7.0))
+    def arrive(self, cls: str, key: int, wait: float) -> None:
+        self.serial += 1
+        id = f"r{self.serial}"
+        keyed = cls == "work-order"
+        self.live[id] = (self.core.hand.time, self.core.hand.time + wait)
+        if keyed:
+            self.keys[id] = f"k{key}"
+        self.core.pick(id, cls, f"k{key}" if keyed else None, wait)
+
+    @rule(data=st.data(), end=st.sampled_from(list(End)))
+    def run_ends(self, data: st.DataObject, end: End) -> None:
+        if (id := self.some(self.running(), data)) is not None:
+            if end is End.NEVER:
+                self.core.ports.done.remove(next(d for d in self.core.ports.done if d[:2] == ("exec", id)))
+            self.core.ports.done.append(("ended", id))
+            self.core.end(id, end if end in (End.OK, End.ERROR, End.NEVER) else End.CANCELLED)
+
+    @rule(data=st.data(), end=st.sampled_from(list(End)))
+    def call(self, data: st.DataObject, end: End) -> None:
+        if (id := self.some(self.running(), data)) is not None:
+            self.core.broker.wants_call(id, 1, b"ask")
+            self.core.broker.called(id, end, b"reply")
+
+    @rule(data=st.data())
+    def caller_goes(self, data: st.DataObject) -> None:
+        if (id := self.some(list(self.live), data)) is not None:
+            if not self.core.ports.answers[id]:
+                self.gone.add(id)
+            self.core.broker.gone(id)
+
+    @rule(seconds=st.floats(0.001, 3.0))
+    def time_passes(self, seconds: float) -> None:
+        self.core.pass_time(seconds)
+
+    def running(self) -> list[str]:
+        ended = set(self.core.ports.ids("ended"))
+        return [id for id in self.core.ports.ids("exec") if id not in ended]
+
+    @invariant()
+    def what_is_owed(self) -> None:
+        if not hasattr(self, "core"):
+            return
+        ports, now = self.core.ports, self.core.hand.time
+        executed = ports.ids("exec")
+        assert len(executed) == len(set(executed))
+        for id, (_, due) in self.live.items():
+            words = self.core.words(id)
+            assert len(words) <= 1
+            assert words or id in self.gone or now < due + 0.1, "an answer is overdue"
+            assert not (words == ["refused"] and id in executed), "what ran was refused"
+        for key in set(self.keys.values()):
+            ran = sorted(self.live[id][0] for id in executed if self.keys.get(id) == key)
+            assert all(b - a > WINDOW for a, b in pairwise(ran)), "a key ran twice"
+
+
+TestLife = Life.TestCase
+TestLife.settings = STEPS
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -498,3 +498,29 @@
         now = at / 10  # each of 150 callers comes again every 15 s: twice while a connection may idle
         policy.handle(now, [req(f"r{at}", now + 1.0, caller=at % 150)])
     assert (policy.idle == policy.settings.idle_max) is stays
+
+
+def test_credit_fits_the_busiest_caller_not_an_even_part() -> None:
+    """On the bench most callers carried little; even parts turned the busiest away at idle servers."""
+    settings = replace(PLAIN, signal=Signal.CREDIT, callers=10)
+
+    def announced(callers: Sequence[int]) -> float:
+        policy = started(settings)
+        for index, caller in enumerate(callers):
+            policy.handle(0.01 * (index + 1), [req(f"r{index}", caller=caller)])
+            policy.handle(0.01 * (index + 1), [api.Finished(f"r{index}", Outcome.OK, 0.0)])
+        policy.handle(0.5, [])
+        return policy.announced
+
+    assert announced([1] * 9 + [2]) > 5 * announced(list(range(10))) > 0
+
+
+def test_calls_are_not_limited_above_a_tier_that_tells_no_share() -> None:
+    """On the bench the limit shrank on the tail of sound calls and runs stood parked while cores idled."""
+    settings = replace(PLAIN, classes=(CALLING,), cores=4, calls_below=True, crowd=8.0)
+    policy = started(settings)
+    made: list[api.Action] = []
+    for index in range(6):  # an adaptive limit starts at the four cores
+        policy.handle(0.01 * index, [req(f"r{index}", cls=CALLING.name)])
+        made += policy.handle(0.01 * index, [api.CallNeeded(f"r{index}")])
+    assert ids(made, api.Call) == [f"r{index}" for index in range(6)]
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,196 @@
+"""The real program on loopback sockets, between stand-ins of all that it speaks to."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from chutepin.net.resp import array
+
+from .helper import ROOT, Standins, eventually
+
+KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+
+def on_sockets(test: Callable[[Standins, AsyncExitStack], Awaitable[None]]) -> None:
+    """Run a test with stand-ins that are not started yet."""
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            await test(Standins(), stack)
+
+    asyncio.run(run())
+
+
+def test_bodies_results_and_replies_pass_unchanged_and_the_node_leaves_in_order() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack)
+        balancer = await world.connect()
+        odd = bytes(range(256)) * 7
+        tag = balancer.call("status-read", odd)
+        word, fields, body = await balancer.answer(tag)
+        assert (word, body) == (b"OK", b"done " + odd + b" with row of call for " + odd)
+        assert fields.startswith(b"v=")
+        balancer.writer.write(array(b"RPC.HEALTH", b"99", b""))
+        assert (await balancer.answer(99))[0] == b"UP"
+        await eventually(lambda: world.reports)
+        assert world.reports[0] == b'PUT /v2/endpoints/n3 HTTP/1.1 {"condition": "Ready"}'
+        log = await world.leave()
+        assert balancer.answers[0] == [[b"BYE"]] and len(balancer.answers[tag]) == 1
+        assert "answers.served=1" in log and "invariant" not in log
+        await balancer.close()
+
+    on_sockets(test)
+
+
+def test_a_repeat_gets_the_result_of_the_run() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack)
+        first, second = await world.connect(), await world.connect()
+        one = await first.answer(first.call("work-order", b"fix the pump", KEY))
+        two = await second.answer(second.call("work-order", b"fix the pump", KEY))
+        assert one[0] == two[0] == b"OK" and one[2] == two[2] and len(world.runs) == 1
+        await first.close()
+        await second.close()
+
+    on_sockets(test)
+
+
+def test_a_lost_executor_link_loses_no_notice_and_repeats_no_run() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack)
+        balancer = await world.connect()
+        world.hold = {b"slow order", b"slow push"}
+        tags = [balancer.call("work-order", b"slow order", KEY), balancer.call("position-push", b"slow push")]
+        await eventually(lambda: len(world.runs) == 2)
+        world.cut()
+        for id, cls, _ in list(world.runs):
+            world.finish(id, cls.encode())  # while no link exists
+        assert [(await balancer.answer(tag))[2] for tag in tags] == [b"work-order", b"position-push"]
+        assert len(world.runs) == 2 and world.joins == [0, 0]
+        await balancer.close()
+
+    on_sockets(test)
+
+
+@pytest.mark.parametrize(("word", "cls", "answer"), [
+    ("ERROR", "work-order", b"FAILED"), ("cut", "work-order", b"FAILED"), ("ERROR", "status-read", b"OK")])
+def test_a_call_that_fails(word: str, cls: str, answer: bytes) -> None:
+    """An unknown outcome is not called again for a work order; a read goes on without the call."""
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack)
+        world.record_word = word
+        balancer = await world.connect()
+        tag = balancer.call(cls, b"x", KEY if cls == "work-order" else None, wait=1000)
+        assert (await balancer.answer(tag))[0] == answer
+        assert cls == "status-read" or len(world.calls) == 1
+        await balancer.close()
+
+    on_sockets(test)
+
+
+HOSTILE = {
+    "not resp": b"GET / HTTP/1.1\r\n\r\n",
+    "huge array": b"*99999\r\n",
+    "huge bulk": b"*5\r\n$99999999\r\n",
+    "no id": array(b"RPC.CALL", b"1", b"status-read", b"s=1", b""),
+    "bad number": array(b"RPC.CALL", b"1", b"status-read", b"i=0123456789abcdef,s=x,d=1", b""),
+    "no tag": array(b"RPC.CALL", b"x"),
+    "not ascii": array(b"RPC.CALL", b"1", b"\xff", b"i=0123456789abcdef,s=1,d=1", b""),
+    "unknown verb": array(b"RPC.WHAT", b"1"),
+    "long body": array(b"RPC.CALL", b"1", b"status-read", b"i=0123456789abcdef,s=1,d=1", b"x" * 2049),
+}
+
+
+def test_hostile_connections_are_closed_alone_and_counted() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack)
+        good = await world.connect()
+        for data in HOSTILE.values():
+            bad = await world.connect()
+            bad.writer.write(data)
+            await eventually(lambda bad=bad: bad.ended)  # type: ignore[misc]
+            await bad.close()
+        half = await world.connect()
+        half.writer.write(array(b"RPC.CALL", b"1")[:9])
+        assert (await good.answer(good.call("position-push", b"still here")))[0] == b"OK"
+        await half.close()
+        log = await world.leave()
+        assert f"balancers.malformed={len(HOSTILE)}" in log
+        await good.close()
+
+    on_sockets(test)
+
+
+def test_a_balancer_that_does_not_read_is_dropped() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack)
+        deaf, good = await world.connect(), await world.connect()
+        deaf.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        checks = array(b"RPC.HEALTH", b"1", b"") * 4000
+        for _ in range(400):
+            if deaf.writer.transport.is_closing():
+                break
+            deaf.writer.write(checks)
+            try:
+                await asyncio.wait_for(deaf.writer.drain(), 0.05)
+            except (TimeoutError, OSError):
+                pass
+        assert (await good.answer(good.call("position-push", b"x")))[0] == b"OK"
+        assert "balancers.stuck=1" in await world.leave()
+        await good.close()
+
+    on_sockets(test)
+
+
+def test_leaving_answers_what_still_runs_before_the_stop() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack)
+        world.hold = {b"endless"}
+        balancer = await world.connect()
+        tag = balancer.call("work-order", b"endless", KEY, wait=14000)
+        await eventually(lambda: world.runs)
+        log = await world.leave()
+        assert balancer.answers[tag][0][0] == b"FAILED" and balancer.answers[0] == [[b"BYE"]]
+        assert "answers.failed=1" in log
+        await balancer.close()
+
+    on_sockets(test)
+
+
+BAD: dict[str, Any] = {
+    "LB_CONFIG": None,
+    "LB_CONFIG: not JSON": "{",
+    "name": {"name": ""},
+    "listen": {"listen": "nowhere"},
+    "executor": {"executor": None},
+    "seed": {"seed": "xyz"},
+    "stop_ms": {"stop_ms": -1},
+    "limits.sockets": {"limits": {"sockets": "many"}},
+    "settings": {"settings": []},
+}
+
+
+@pytest.mark.parametrize("field", BAD)
+def test_bad_configuration_is_one_line_and_code_2(field: str, tmp_path: Path) -> None:
+    raw = BAD[field]
+    good: dict[str, Any] = {"name": "n3", "listen": "127.0.0.1:1", "executor": "127.0.0.1:2", "settings": {
+        "categories": [{"name": "a", "deadline": 1.0, "idempotency": "pure"}],
+        "familyInfo": {"cpus": 1, "memoryKb": 9.0}}}
+    path = tmp_path / "config.json"
+    path.write_text(raw if isinstance(raw, str) else json.dumps(good | (raw or {})))
+    environ = {**os.environ, "LB_CONFIG": str(path)}
+    if raw is None:
+        del environ["LB_CONFIG"]
+    done = subprocess.run([sys.executable, "-m", "chutepin"], cwd=ROOT, env=environ, capture_output=True,
+                          text=True, check=False)
+    assert done.returncode == 2 and done.stderr.startswith(f"chutepin: {field}"), done.stderr
+    assert done.stderr.count("\n") == 1
