pcap files read and written; doubts after a lost executor link are resolved

Found by reading: a keyed EXEC that was lost with its link kept its place in the module for the rest of the node's life. Once its request is over the EXEC is written again; the executor then starts nothing and says so.

--- a/chutepin/__main__.py
+++ b/chutepin/__main__.py
@@ -4,7 +4,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import signal
 import sys
 from collections.abc import Awaitable
@@ -16,10 +15,11 @@
 from .net.executor import ExecutorLink, Session
 from .net.records import RecordsService
 from .net.resp import SWEEP, Front
-from .ops import Clock, Counters, Log
+from .ops import Clock, Counters, Log, say
 
 if TYPE_CHECKING:
     from .net.amqp import Consumer
+    from .pcap import Recorder, Source
 
 STOP_MARGIN = 0.15  # seconds before the process is stopped by which all is answered
 
@@ -52,7 +52,8 @@
 class Node:
     """The parts of one node, put together."""
 
-    def __init__(self, config: Config, amqp: AmqpConfig | None = None) -> None:
+    def __init__(self, config: Config, amqp: AmqpConfig | None = None, read: str | None = None,
+                 record: str | None = None) -> None:
         self.config = config
         self.clock = Clock()
         self.counters = Counters()
@@ -70,12 +71,21 @@
             # Loaded only where an operator turns the front on: the platform's nodes need no codec for it.
             from .net.amqp import Consumer
             self.consumer = Consumer(amqp, self.broker, self.clock, self.counters, self.log, config.seed)
+        self.source: Source | None = None
+        self.recorder: Recorder | None = None
+        if read is not None or record is not None:  # loaded only where files are read or written
+            from .pcap import Recorder, Source
+            if record is not None:
+                recorder = Recorder(record, self.clock, self.counters, config.listen.port)
+                self.front.tap = self.recorder = recorder
+            if read is not None:
+                self.source = Source(read, config.listen.port, self.front, self.clock)
         self._told = asyncio.Event()
 
     def print_counters(self) -> None:
         """On request and at exit; never dropped by the rate limit."""
         dropped = f" log.dropped={self.log.dropped}" if self.log.dropped else ""
-        print(f"chutepin: counters {self.counters.text()}{dropped}", file=sys.stderr, flush=True)
+        say(f"counters {self.counters.text()}{dropped}")
 
     async def run(self) -> int:
         """Serve until told to leave, then leave."""
@@ -93,6 +103,8 @@
             work.append(Reporter(self.config.control, self.config.name, ready, self.counters).run())
         if self.consumer is not None:
             work.append(self.consumer.run())
+        if self.source is not None:
+            work.append(self._replay(self.source))
         tasks = [asyncio.ensure_future(part) for part in work]
         self.broker.tick()
         self.log.line(f"{self.config.name} serves on {self.config.listen.host}:{self.config.listen.port}")
@@ -101,9 +113,22 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        if self.recorder is not None:
+            self.front.close_replayed()
+            self.recorder.close()
         self.print_counters()
         return 0
 
+    async def _replay(self, source: Source) -> None:
+        """Feed a file once the executor is up; leave after its end."""
+        while not self.broker.started:
+            await asyncio.sleep(0.01)
+        await source.run()
+        self.log.line(source.report.text())
+        while self.broker.in_hand:
+            await asyncio.sleep(0.01)
+        self._told.set()
+
     def _ready(self) -> bool:
         return self.broker.good and not self._told.is_set()
 
@@ -116,6 +141,7 @@
         while True:
             await asyncio.sleep(SWEEP)
             self.front.close_idle()
+            self.front.close_replayed()
             self.records.close_idle()
 
     async def _leave(self) -> None:
@@ -139,17 +165,18 @@
     """Start a node; bad configuration is one line and exit code 2."""
     arguments = argparse.ArgumentParser(prog="chutepin", description="One node, set up by LB_CONFIG.")
     arguments.add_argument("--amqp", metavar="FILE", help="consume the queues that this TOML file names")
+    arguments.add_argument("--read", metavar="FILE", help="take the requests of this pcap file, then leave")
+    arguments.add_argument("--record", metavar="FILE", help="write what is asked and answered to a pcap file")
     options = arguments.parse_args()
     try:
         config = load()
         amqp = load_amqp(options.amqp, config.settings) if options.amqp else None
-        return asyncio.run(Node(config, amqp).run())
+        return asyncio.run(Node(config, amqp, options.read, options.record).run())
     except ConfigError as error:
-        print(f"chutepin: {error}", file=sys.stderr)
+        say(str(error))
         return 2
     except KeyboardInterrupt:
-        with contextlib.suppress(BrokenPipeError):
-            print("chutepin: interrupted", file=sys.stderr)
+        say("interrupted")
         return 130
 
 
--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -24,6 +24,7 @@
 MAX_KEYS = 8192  # entries of the table of keys; each keeps a result of up to 4 KiB
 KEY_SLACK = 0.1  # seconds that a window is stretched by: an entry may outlive its window, never the reverse
 KEY_GRACE = 5.0  # an entry stays this long after its window, for tries that came in time but are read late
+LINGER = 60.0  # seconds that a run nobody waits for may go on where the executor cannot see that
 METER_WAIT = 0.015  # seconds that a timer waits for fresh gauges
 
 
@@ -59,6 +60,7 @@
     def kill(self, id: str) -> None: ...
     def give_back(self, id: str, reply: bytes) -> None: ...
     def bypass(self, id: str, notice: int) -> None: ...
+    def resolve(self, id: str, cls: str, body: bytes) -> None: ...
     def meter(self) -> bool: ...
 
 
@@ -168,6 +170,11 @@
         """The free value that goes out with every answer; None where the site uses none."""
         return self._value
 
+    @property
+    def started(self) -> bool:
+        """The executor has come up."""
+        return self._started
+
     @property
     def in_hand(self) -> int:
         """Requests that are owed an answer."""
@@ -196,6 +203,9 @@
             self._counters.add("requests.full" if full else "requests.not_taken")
             self._answer_now(caller, Answer(Verdict.REFUSED, value=self._value))
             return
+        # Guards what the module learns from the wait, and the windows of keys, against times that cannot be.
+        now = self._clock.now()
+        request.arrived = max(now - cls.deadline, min(now, request.arrived))
         self._attempts[request.id] = Attempt(request, caller, cls.repeat)
         offer = Offer(
             request.id, request.cls, request.tenant, request.subject, request.arrived, request.due,
@@ -299,16 +309,18 @@
     def tick(self) -> None:
         """Deliver the timers that have come due, with gauges no older than the wait for fresh ones."""
         now = self._clock.now()
-        while self._timers and self._timers[0][0] <= now:
-            self._metered.append(heapq.heappop(self._timers)[1])
-            if len(self._metered) == 1:
-                self._meter_until = now + METER_WAIT if self._executor.meter() else now
-        if self._metered and now >= self._meter_until:
-            self._fire()
-        if now >= self._sweep_at:
-            self._sweep_at = now + 1.0
-            self._sweep(now)
-        self._arm()
+        try:
+            while self._timers and self._timers[0][0] <= now:
+                self._metered.append(heapq.heappop(self._timers)[1])
+                if len(self._metered) == 1:
+                    self._meter_until = now + METER_WAIT if self._executor.meter() else now
+            if self._metered and now >= self._meter_until:
+                self._fire()
+            if now >= self._sweep_at:
+                self._sweep_at = now + 1.0
+                self._sweep(now)
+        finally:
+            self._arm()  # guards against an error above stopping all time
 
     def _fire(self) -> None:
         due, self._metered = self._metered, []
@@ -522,7 +534,13 @@
         self._reports.append(RunEnded(id, end))
 
     def _sweep(self, now: float) -> None:
-        """Drop entries whose window is over, unless their run still goes on."""
+        """Drop entries whose window is over, unless their run still goes on; settle runs in doubt."""
+        for id, attempt in self._attempts.items():
+            if not attempt.owed and attempt.phase is Phase.RUNNING:
+                if attempt.request.watched:
+                    self._executor.resolve(id, attempt.request.cls, attempt.request.body)
+                elif attempt.request.due + LINGER < now:
+                    self._executor.kill(id)
         for entry in [e for e in self._keys.values() if e.until + KEY_GRACE < now]:
             if entry.ran is None and entry.holder in self._attempts:
                 continue
--- a/chutepin/net/amqp.py
+++ b/chutepin/net/amqp.py
@@ -389,6 +389,8 @@
         """Keep the window and the pauses: the free value is the window, 0 closes it."""
         self._open = {id: d for id, d in self._open.items() if d.tag in d.session.unsettled}
         value, now = self.broker.value, self.clock.now()
+        if not self.broker.started:  # nothing could run yet
+            value = 0.0
         window = self.config.prefetch if value is None else min(self.config.prefetch, math.ceil(value))
         session.set_window(window)
         for index, again_at in enumerate(self._again_at):
--- a/chutepin/net/executor.py
+++ b/chutepin/net/executor.py
@@ -57,6 +57,7 @@
         self._meters = 0
         self._commands: list[Command] = []
         self._welcomed = False
+        self._doubtful: set[str] = set()  # runs whose EXEC may or may not have been read
         self._sync = -1  # the METER whose answer shows that all missed notices were read
         self.send: Callable[[bytes], None] | None = None
 
@@ -78,6 +79,7 @@
     def lost(self) -> None:
         """The link is gone. What may have been read and must not be read twice is not written again."""
         self.send, self._welcomed, self._sync = None, False, -1
+        self._doubtful |= {c.id for c in self._commands if c.written and not c.again}
         self._commands = [command for command in self._commands if command.again or not command.written]
 
     def command(self, id: str, data: bytes, again: bool) -> None:
@@ -95,6 +97,14 @@
         self.send(line("METER", self._meters))
         return True
 
+    def resolve(self, id: str, data: bytes) -> None:
+        """Write a doubtful EXEC once more. Only for a request that is over: then a run that goes on is left
+        alone, and where there is none the executor starts nothing and says so."""
+        if id in self._doubtful and self.synced:
+            self._doubtful.discard(id)
+            self._counters.add("executor.resolved")
+            self.command(id, data, False)
+
     def _write(self, command: Command) -> None:
         assert self.send is not None
         command.written, command.mark = True, self._meters + 1
@@ -137,6 +147,7 @@
     def _settled(self, id: str) -> None:
         """A notice shows that earlier commands for this run were read, or no longer matter."""
         self._commands = [command for command in self._commands if command.id != id]
+        self._doubtful.discard(id)
 
     def _new(self, number: int) -> bool:
         """Each notice is taken once; a gap is counted (the executor keeps only the last 4,000)."""
@@ -181,6 +192,10 @@
         """Go on without the call."""
         self._session.command(id, line("BYPASS", id, notice), True)
 
+    def resolve(self, id: str, cls: str, body: bytes) -> None:
+        """A request is over: have the executor say what became of its run, should that be in doubt."""
+        self._session.resolve(id, line("EXEC", id, cls, body=body))
+
     def meter(self) -> bool:
         """Ask for the gauges."""
         return self._session.meter()
@@ -221,3 +236,6 @@
         except ProtocolError as error:
             self._counters.add("executor.malformed")
             self._log.line(f"executor: {error}")
+        except Exception as error:  # guards the link's life: a fault of ours costs one notice, not the node
+            self._counters.add("errors")
+            self._log.line(f"executor: {error!r}")
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from ..broker import Answer, Broker, Request, Verdict
 from ..config import Address
@@ -18,6 +19,7 @@
 MAX_UNSENT = 192 * 1024  # bytes that a balancer may leave unread: 32 answers of the greatest size fit
 MAX_UNSENT_ALL = 24 * 2**20  # the same for all connections together
 SWEEP = 0.5  # seconds between looks at idle connections
+CHECKS_IDLE = 60.0  # seconds that a connection for health checks may be silent
 BYE_GRACE = 2.0  # seconds that a balancer has to close an idle connection once told
 _WORDS = {Verdict.SERVED: b"OK", Verdict.REFUSED: b"BUSY", Verdict.FAILED: b"FAILED"}
 
@@ -143,9 +145,11 @@
     checks: bool = False  # it carries health checks
     bye_at: float | None = None
     closing: bool = False  # reads no more; closes once nothing is open
+    shift: float = 0.0  # seconds by which the times in its requests are moved
 
     def received(self, data: bytes) -> None:
         """Take in bytes; what is malformed ends the reading, and what was read before it is answered."""
+        self.front.passed(self, False, data)
         self.parser.feed(data)
         try:
             while not self.closing and (items := self.parser.next()) is not None:
@@ -167,6 +171,14 @@
             self.write(BYE)
 
 
+class Tap(Protocol):
+    """Who records what passes on the connections, each known by a number."""
+
+    def opened(self, key: int) -> None: ...
+    def passed(self, key: int, sent: bool, data: bytes) -> None: ...
+    def closed(self, key: int) -> None: ...
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """Who gets a request's answer: a tag on a connection."""
@@ -188,6 +200,8 @@
         self.connections: dict[int, Connection] = {}
         self._server: asyncio.Server | None = None
         self._transports: dict[int, asyncio.WriteTransport] = {}
+        self.tap: Tap | None = None
+        self._ending: list[Connection] = []  # from a file that has no more for them
 
     def message(self, connection: Connection, items: list[bytes]) -> None:
         """One array from a balancer."""
@@ -199,6 +213,8 @@
             if tag in connection.open or len(connection.open) >= MAX_OPEN:
                 raise ProtocolError("a tag that is open, or too many")
             request = parse_call(items)
+            request.arrived += connection.shift
+            request.due += connection.shift
             connection.open[tag] = request.id
             self.broker.pick(request, Reply(connection, tag))
         elif verb == b"RPC.CANCEL":
@@ -214,6 +230,32 @@
         else:
             raise ProtocolError("an unknown verb")
 
+    def passed(self, connection: Connection, sent: bool, data: bytes) -> None:
+        """Let a record be kept."""
+        if self.tap is not None:
+            self.tap.passed(id(connection), sent, data)
+
+    def replayed(self, shift: float) -> Connection:
+        """A connection that comes from a file: read and answered like any other, but without a socket."""
+        connection = Connection(self, lambda data: self.passed(connection, True, data), shift=shift)
+        if self.tap is not None:
+            self.tap.opened(id(connection))
+        self.counters.add("replay.connections")
+        return connection
+
+    def replay_ended(self, connection: Connection) -> None:
+        """Nothing more comes on it; what is open is still answered."""
+        connection.closing = True
+        self._ending.append(connection)
+        self.close_replayed()
+
+    def close_replayed(self) -> None:
+        """Close ended connections on which all is answered."""
+        for connection in [c for c in self._ending if not c.open]:
+            self._ending.remove(connection)
+            if self.tap is not None:
+                self.tap.closed(id(connection))
+
     # --- sockets ---
 
     async def listen(self, address: Address) -> None:
@@ -230,6 +272,8 @@
                                 last_used=self.clock.now())
         self.connections[id(connection)] = connection
         self._transports[id(connection)] = transport
+        if self.tap is not None:
+            self.tap.opened(id(connection))
         self.counters.add("balancers.connections")
         try:
             while not connection.closing and (data := await reader.read(16384)):
@@ -245,6 +289,8 @@
             for request in connection.open.values():
                 self.broker.gone(request)
             connection.open.clear()
+            if self.tap is not None:
+                self.tap.closed(id(connection))
             writer.close()
 
     def _write(self, connection: Connection, transport: asyncio.WriteTransport, data: bytes) -> None:
@@ -252,6 +298,7 @@
         if transport.is_closing():
             return
         transport.write(data)
+        self.passed(connection, True, data)
         unsent = transport.get_write_buffer_size()
         if unsent <= 16384:
             return
@@ -264,12 +311,13 @@
         """Say goodbye on connections that were idle as long as the module allows; close those that stay."""
         now = self.clock.now()
         for key, connection in list(self.connections.items()):
-            if connection.open or connection.checks:
+            if connection.open:
                 continue
             if connection.bye_at is not None:
                 if now - connection.bye_at > BYE_GRACE:
                     self._transports[key].close()
-            elif now - connection.last_used > max(self.broker.idle_after, SWEEP):
+            elif now - connection.last_used > (
+                    CHECKS_IDLE if connection.checks else max(self.broker.idle_after, SWEEP)):
                 self.counters.add("balancers.idle")
                 connection.bye(now)
 
--- a/chutepin/ops.py
+++ b/chutepin/ops.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import sys
 import time
 from collections import Counter
@@ -24,6 +25,12 @@
         return self._last
 
 
+def say(text: str) -> None:
+    """Print a line. Guards the node against a log that nobody reads any more."""
+    with contextlib.suppress(OSError):
+        print(f"chutepin: {text}", file=sys.stderr, flush=True)
+
+
 class Log:
     """Plain prints to standard error. Past the rate lines are counted instead, so a peer cannot flood it."""
 
@@ -41,7 +48,7 @@
             self.dropped += 1
             return
         self._tokens -= 1
-        print(f"chutepin: {text}", file=sys.stderr, flush=True)
+        say(text)
 
 
 class Counters:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -76,6 +76,9 @@
     def bypass(self, id: str, notice: int) -> None:
         self.done.append(("bypass", id, notice))
 
+    def resolve(self, id: str, cls: str, body: bytes) -> None:
+        self.done.append(("resolve", id))
+
     def meter(self) -> bool:
         return False
 
@@ -154,7 +157,7 @@
         self.env = json.loads(json.dumps(ENV))
         self.stop_ms = 1500
         self.process: asyncio.subprocess.Process | None = None
-        self.port = 0
+        self.port = self.listen_port = 0
         self.errors = ""
 
     async def start(self, stack: AsyncExitStack, *arguments: str,
@@ -162,7 +165,7 @@
         """Start the stand-ins and the real program."""
         ports = [await self._serve(stack, handler) for handler in (
             self._executor_side, self._records_side, self._control_side)]
-        self.port = await free_port()
+        self.port = self.listen_port or await free_port()
         config = {
             "name": "n3", "listen": f"127.0.0.1:{self.port}", "executor": f"127.0.0.1:{ports[0]}",
             "records": f"127.0.0.1:{ports[1]}", "control": f"127.0.0.1:{ports[2]}",
