Models of the wires checked by random steps; commands kept over a lost link

Seen by the model of the executor's link: a command that a lost link had carried was taken as confirmed by the first METERS of the next link and never written again (Session.lost kept its old mark; now it is unwritten there).

--- a/chutepin/net/executor.py
+++ b/chutepin/net/executor.py
@@ -81,6 +81,8 @@
         self.send, self._welcomed, self._sync = None, False, -1
         self._doubtful |= {c.id for c in self._commands if c.written and not c.again}
         self._commands = [command for command in self._commands if command.again or not command.written]
+        for command in self._commands:  # a METER on the next link says nothing of what this one carried
+            command.written = False
 
     def command(self, id: str, data: bytes, again: bool) -> None:
         """Write a command, now or once the link is back."""
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -4,6 +4,7 @@
 
 from itertools import pairwise
 
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -105,6 +106,15 @@
     assert core.words("a")[0] in ("failed", "served") and core.ports.ids("kill") == ["a"]
 
 
+def test_a_key_is_not_run_twice_whatever_the_module_decides() -> None:
+    core = Core()
+    core.pick("a", "work-order", key="k")
+    core.pick("b", "work-order", key="k")
+    with pytest.raises(AssertionError, match="one run a key"):
+        core.broker.run("b")
+    assert core.ports.ids("exec") == ["a"] and core.counters.counts["invariant.one run a key"] == 1
+
+
 class Life(RuleBasedStateMachine):
     """A model of what is owed: against it, any order of arrivals, ends, calls, losses and time."""
 
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,414 @@
+"""The platform's wires as models of a connection's states, checked by random steps."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from chutepin.broker import Answer, Verdict
+from chutepin.config import Address
+from chutepin.facade import End
+from chutepin.net import records
+from chutepin.net.executor import ExecutorLink, Session
+from chutepin.net.lines import LineParser, ProtocolError, line
+from chutepin.net.records import RecordsService
+from chutepin.net.resp import Connection, Front, RespParser, array, format_answer, parse_call
+from chutepin.ops import Counters, Log
+
+from .helper import STEPS, Core, Hand
+
+
+class Balancers(RuleBasedStateMachine):
+    """One balancer's connection: what is open on it, against what the node writes."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.core, self.written = Core(), bytearray()
+        clock = self.core.hand.clock
+        self.front = Front(self.core.broker, clock, self.core.counters, Log(clock), 1024)
+        self.connection = Connection(self.front, self.written.extend)
+        self.parser, self.tag = RespParser(), 0
+        self.open, self.given_up, self.checks = set[int](), set[int](), set[int]()
+        self.answered: list[int] = []
+
+    def feed(self, data: bytes, size: int) -> None:
+        for at in range(0, len(data), size):
+            self.connection.received(data[at:at + size])
+
+    @precondition(lambda self: not self.connection.closing)
+    @rule(cls=st.sampled_from([b"status-read", b"work-order", b"what"]), size=st.integers(1, 300),
+          wait=st.integers(0, 9000), key=st.integers(0, 3))
+    def call(self, cls: bytes, size: int, wait: int, key: int) -> None:
+        self.tag += 1
+        self.open.add(self.tag)
+        fields = f"i={self.tag:016x},s={int(self.core.hand.time * 1000)},f=1,d={wait},m=20,p=0.5"
+        fields += f",k={key:032x}" if cls == b"work-order" else ""
+        self.feed(array(b"RPC.CALL", b"%d" % self.tag, cls, fields.encode(), b"\r\n$*" * 9), size)
+
+    @precondition(lambda self: not self.connection.closing)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        tag = data.draw(st.sampled_from([*sorted(self.open), 99]))
+        self.feed(array(b"RPC.CANCEL", b"%d" % tag), 7)
+        if tag in self.open:
+            self.open.discard(tag)
+            self.given_up.add(tag)
+
+    @precondition(lambda self: not self.connection.closing)
+    @rule()
+    def check(self) -> None:
+        self.tag += 1
+        self.checks.add(self.tag)
+        self.feed(array(b"RPC.HEALTH", b"%d" % self.tag, b""), 5)
+
+    @precondition(lambda self: self.tag > 6)
+    @rule(junk=st.sampled_from([
+        b"$1\r\n", b"*9999\r\n", b"*1\r\n$-1\r\n", array(b"RPC.CALL"), b"*2\r\n$9\r\nx"]))
+    def break_off(self, junk: bytes) -> None:
+        self.connection.received(junk + b"\r\n" * 20)
+        assert self.connection.closing
+        self.connection.received(array(b"RPC.HEALTH", b"1", b""))  # no longer read
+
+    @rule(data=st.data(), end=st.sampled_from([End.OK, End.ERROR]))
+    def run_ends(self, data: st.DataObject, end: End) -> None:
+        ended = set(self.core.ports.ids("ended"))
+        if running := [id for id in self.core.ports.ids("exec") if id not in ended]:
+            id = data.draw(st.sampled_from(running))
+            self.core.ports.done.append(("ended", id))
+            self.core.end(id, end)
+
+    @rule(seconds=st.floats(0.01, 4.0))
+    def time_passes(self, seconds: float) -> None:
+        self.core.pass_time(seconds)
+
+    @invariant()
+    def answers_match(self) -> None:
+        if not hasattr(self, "core"):
+            return
+        self.parser.feed(bytes(self.written))
+        self.written.clear()
+        while (items := self.parser.next()) is not None:
+            tag = int(items[0])
+            if tag in self.checks:
+                assert items[1] == b"UP"
+                self.checks.discard(tag)
+            else:
+                assert tag in self.open, "a second answer, or one to nobody"
+                self.open.discard(tag)
+                self.answered.append(tag)
+        assert not self.checks and {int(tag) for tag in self.connection.open} == self.open
+        assert self.core.counters.counts["callers.gone"] == len(self.given_up)
+        assert len(self.answered) == len(set(self.answered)) and not self.given_up & set(self.answered)
+
+
+class Links(RuleBasedStateMachine):
+    """The executor's link: an executor that reads as much as it likes, against lost links."""
+
+    @initialize()
+    def begin(self) -> None:
+        hand = Hand()
+        counters = Counters()
+        self.session = Session(hand.clock, counters, Log(hand.clock))
+        self.session.notices = self
+        self.link = ExecutorLink(Address("", 1), self.session, counters, Log(hand.clock))
+        self.serial, self.heard = 0, list[str]()
+        self.begun: dict[str, int] = {}  # run: how often it was begun
+        self.running, self.asked, self.over = set[str](), list[str](), set[str]()
+        self.notices: list[bytes] = []
+        self.to_executor, self.to_node = bytearray(), bytearray()
+        self.up = False
+        self.connect()
+        for _ in range(3):
+            self.executor_reads(10**6)
+            self.node_reads(10**6)
+
+    # What the node hears.
+
+    def welcome(self, cold: bool, born: float) -> None: ...
+    def metered(self, values: tuple[float, ...]) -> None: ...
+
+    def ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
+        assert result == id.encode() and end is End.OK
+        self.heard.append(id)
+
+    def wants_call(self, id: str, notice: int, body: bytes) -> None:
+        raise AssertionError("no run of this model calls")
+
+    def not_carried_out(self, command: str, id: str) -> None:
+        raise AssertionError("a command that the executor does not know")
+
+    # What happens.
+
+    @rule()
+    def connect(self) -> None:
+        if not self.up:
+            self.up, self.parser = True, LineParser(lambda words: words[0] == "EXEC", 4096)
+            self.to_executor.clear()
+            self.to_node.clear()
+            self.session.connected(self.to_executor.extend)
+
+    @rule()
+    def cut(self) -> None:
+        if self.up:
+            self.up = False
+            self.session.lost()
+
+    @rule(keyed=st.booleans())
+    def execute(self, keyed: bool) -> None:
+        self.serial += 1
+        id = f"{'key' if keyed else 'safe'}{self.serial}"
+        self.asked.append(id)
+        self.link.exec(id, "c", b"\r\nEXEC", not keyed)
+
+    @rule()
+    def meter(self) -> None:
+        self.link.meter()
+
+    @rule(size=st.sampled_from([3, 60, 10**6]))
+    def executor_reads(self, size: int) -> None:
+        if not self.up:
+            return
+        self.parser.feed(bytes(self.to_executor[:size]))
+        del self.to_executor[:size]
+        while (message := self.parser.next()) is not None:
+            words, body = message
+            if words[0] == "JOIN":
+                self.to_node += line("WELCOME", "hot", 1) + b"".join(self.notices[int(words[1]):])
+            elif words[0] == "METER":
+                self.to_node += line("METERS", words[1], 1)
+            elif words[1] not in self.running and words[1] not in self.over:
+                assert words[0] == "EXEC" and body == b"\r\nEXEC"
+                self.running.add(words[1])
+                self.begun[words[1]] = self.begun.get(words[1], 0) + 1
+
+    @rule(data=st.data())
+    def run_ends(self, data: st.DataObject) -> None:
+        if self.running:
+            id = data.draw(st.sampled_from(sorted(self.running)))
+            self.running.discard(id)
+            notice = line("EXIT", len(self.notices) + 1, id, "complete", 5, body=id.encode())
+            self.notices.append(notice)
+            self.to_node += notice if self.up else b""
+
+    @rule(size=st.sampled_from([3, 60, 10**6]))
+    def node_reads(self, size: int) -> None:
+        if self.up:
+            data = bytes(self.to_node[:size])
+            del self.to_node[:size]
+            self.session.received(data)
+
+    @rule()
+    def a_request_in_doubt_is_over(self) -> None:
+        for id in self.asked:
+            if id.startswith("key"):
+                self.over.add(id)
+                self.link.resolve(id, "c", b"\r\nEXEC")
+
+    @invariant()
+    def once_each(self) -> None:
+        if hasattr(self, "heard"):
+            ends = [notice.split()[2].decode() for notice in self.notices]
+            assert self.heard == ends[:len(self.heard)], "a notice was lost or taken twice"
+            assert all(count == 1 for id, count in self.begun.items() if id.startswith("key"))
+
+    def teardown(self) -> None:
+        """Whatever happened: with a link that stays up all is heard and all that may be repeated was run."""
+        if not hasattr(self, "heard"):
+            return
+        self.cut()
+        self.connect()
+        for _ in range(6):
+            self.executor_reads(10**6)
+            self.node_reads(10**6)
+        while self.running:
+            id = self.running.pop()
+            self.to_node += line("EXIT", len(self.notices) + 1, id, "complete", 5, body=id.encode())
+            self.notices.append(b"EXIT 0 " + id.encode())
+        self.node_reads(10**6)
+        assert len(self.heard) == len(self.notices)
+        assert {id for id in self.asked if id.startswith("safe")} <= set(self.begun)
+
+
+class Wire:
+    """A connection to the records service without a socket."""
+
+    def __init__(self) -> None:
+        self.reader, self.sent, self.transport = asyncio.StreamReader(), bytearray(), self
+        self.write = self.sent.extend
+        self.aborted = False
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def abort(self) -> None:
+        self.aborted = True
+
+    close = abort
+
+
+class Calls(RuleBasedStateMachine):
+    """The records connections: each call ends once, with the reply to itself and to no earlier one."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.loop, hand = asyncio.new_event_loop(), Hand()
+        self.service = RecordsService(Address("h", 1), hand.clock, Counters(), Log(hand.clock))
+        self.service.listener = self
+        self.hand, self.wires, self.refuse = hand, list[Wire](), False
+        self.serial = 0
+        self.open: dict[str, int] = {}  # request: the number of its present call
+        self.late: list[tuple[Wire, str, int]] = []
+        self.on_wire: list[tuple[Wire, str, int]] = []  # calls that the service has and may answer
+
+    async def connect(self, host: str, port: int) -> tuple[Any, Any]:
+        if self.refuse:
+            raise ConnectionRefusedError
+        self.wires.append(Wire())
+        return self.wires[-1].reader, self.wires[-1]
+
+    def called(self, id: str, end: End, reply: bytes) -> None:
+        number = self.open.pop(id)  # a second end would be a KeyError
+        if end is End.OK:
+            assert reply == b"%d" % number, "the reply to an earlier call"
+
+    def settle(self) -> None:
+        for _ in range(6):
+            self.loop.run_until_complete(asyncio.sleep(0))
+        for wire in self.wires:
+            parser = LineParser(lambda words: words[0] == "OP", 4096)
+            parser.feed(bytes(wire.sent))
+            wire.sent.clear()
+            while (message := parser.next()) is not None:
+                words, body = message
+                self.on_wire = [c for c in self.on_wire if words[0] == "OP" or c[:2] != (wire, words[1])]
+                if words[0] == "OP":
+                    self.on_wire.append((wire, words[1], int(body)))
+
+    @rule(id=st.sampled_from("abcde"), refuse=st.booleans())
+    def call(self, id: str, refuse: bool) -> None:
+        if id in self.open:
+            return
+        self.serial += 1
+        self.open[id], self.refuse = self.serial, refuse
+
+        async def start() -> None:
+            self.service.call(id, self.hand.time + 1000, b"%d" % self.serial)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(records.asyncio, "open_connection", self.connect)  # type: ignore[attr-defined]
+            self.loop.run_until_complete(start())
+            self.settle()
+
+    @rule(id=st.sampled_from("abcde"))
+    def give_up(self, id: str) -> None:
+        if self.open.pop(id, None) is not None:
+            self.service.give_up(id)
+            # The reply may be on its way already, and come after the next call for the same request.
+            self.late += [entry for entry in self.on_wire if entry[1] == id]
+            self.settle()
+
+    @rule()
+    def late_replies(self) -> None:
+        for wire, id, number in self.late:
+            wire.reader.feed_data(line(id, "DONE", body=b"%d" % number) if not wire.aborted else b"")
+        self.late.clear()
+        self.settle()
+
+    @rule(data=st.data(), word=st.sampled_from(["DONE", "WAIT", "ERROR", "PAST", "EMPTY"]))
+    def reply(self, data: st.DataObject, word: str) -> None:
+        if live := [entry for entry in self.on_wire if not entry[0].aborted]:
+            entry = data.draw(st.sampled_from(live))
+            self.on_wire.remove(entry)
+            wire, id, number = entry
+            wire.reader.feed_data(line(id, word, body=b"%d" % number if word == "DONE" else None))
+            self.settle()
+            assert self.open.get(id) != number, "a call whose reply came did not end"
+
+    @rule(junk=st.sampled_from([b"", b"what\r\n", b"x" * 600, b"a DONE 99999999\r\n"]))
+    def connection_ends(self, junk: bytes) -> None:
+        for wire in self.wires:
+            if not wire.aborted:
+                wire.reader.feed_data(junk)
+                wire.reader.feed_eof()
+                self.late = [entry for entry in self.late if entry[0] is not wire]
+                self.on_wire = [entry for entry in self.on_wire if entry[0] is not wire]
+        self.settle()
+        assert not self.open, "a call outlived its connection"
+
+    def teardown(self) -> None:
+        if hasattr(self, "loop"):
+            self.connection_ends(b"")
+            self.loop.close()
+
+
+TestBalancers, TestLinks, TestCalls = Balancers.TestCase, Links.TestCase, Calls.TestCase
+TestBalancers.settings = TestLinks.settings = TestCalls.settings = STEPS
+
+
+def test_a_keyed_run_that_ends_while_the_next_link_catches_up_is_not_run_again() -> None:
+    links = Links()
+    links.begin()
+    links.execute(keyed=True)
+    links.executor_reads(10**6)
+    links.cut()
+    links.connect()
+    links.executor_reads(10**6)
+    links.node_reads(10**6)  # WELCOME; the node asks whether it has caught up
+    links.executor_reads(10**6)
+    caught_up = len(links.to_node)
+    links.running.discard("key1")
+    links.notices.append(line("EXIT", 1, "key1", "complete", 5, body=b"key1"))
+    links.to_node += links.notices[0]
+    links.node_reads(caught_up)
+    links.executor_reads(10**6)
+    links.node_reads(10**6)
+    assert links.begun == {"key1": 1} and links.heard == ["key1"]
+
+
+def test_an_answer_tells_when_to_come_back() -> None:
+    refusal = Answer(Verdict.REFUSED, b"", 0.25, True, 3.5)
+    assert format_answer(b"7", refusal) == array(b"7", b"BUSY", b"v=3.5,w=250,l=1", b"")
+    assert format_answer(b"7", Answer(Verdict.SERVED, b"x")) == array(b"7", b"OK", b"", b"x")
+    assert format_answer(b"7", Answer(Verdict.FAILED, hold_off=1.0)) == array(b"7", b"FAILED", b"", b"")
+
+
+def test_the_fields_of_a_call() -> None:
+    request = parse_call([
+        b"RPC.CALL", b"7", b"checkout", b"i=9b1f03aa5c7e2d41,s=1764576000123,f=4,t=acme,d=480,"
+        b"r=1,m=24.5,p=0.6250,k=5c0f,o=7f3a", b"\0"])
+    assert (request.id, request.cls, request.tenant, request.key, request.subject, request.body) == (
+        "9b1f03aa5c7e2d41", "checkout", "acme", "5c0f", "7f3a", b"\0")
+    assert request.arrived == 1764576000.123 and abs(request.due - 1764576000.603) < 1e-5
+    assert (request.caller, request.size, request.rank, request.again) == (4, 24.5, 0.625, True)
+
+
+@pytest.mark.parametrize("raw", [
+    b"x" * 600, b"\r\n", b"EXIT 1 a complete 1 x\r\n", b"EXIT 1 a complete 1 2\r\nabcd"])
+def test_malformed_lines(raw: bytes) -> None:
+    parser = LineParser(lambda words: words[0] == "EXIT", 100)
+    parser.feed(raw)
+    with pytest.raises(ProtocolError):
+        while parser.next() is not None:
+            pass
+
+
+def test_the_last_tier_has_nobody_to_call() -> None:
+    ends: list[tuple[str, End]] = []
+    hand = Hand()
+
+    class Listener:
+        def called(self, id: str, end: End, reply: bytes) -> None:
+            ends.append((id, end))
+
+    async def run() -> None:
+        service = RecordsService(None, hand.clock, Counters(), Log(hand.clock))
+        service.listener = cast(Any, Listener())
+        service.call("a", hand.time + 1, b"")
+        await asyncio.sleep(0)
+
+    asyncio.run(run())
+    assert ends == [("a", End.UNREACHABLE)]
