The model of the records connections catches a late reply taken for the next call's

Fewer request ids and rarer ends of the connection let the random steps reach a second call for one request while a reply to the first is on its way; the mutation of RecordsService._connection that escaped is now caught.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -288,7 +288,7 @@
                 if words[0] == "OP":
                     self.on_wire.append((wire, words[1], int(body)))
 
-    @rule(id=st.sampled_from("abcde"), refuse=st.booleans())
+    @rule(id=st.sampled_from("ab"), refuse=st.booleans())
     def call(self, id: str, refuse: bool) -> None:
         if id in self.open:
             return
@@ -303,7 +303,7 @@
             self.loop.run_until_complete(start())
             self.settle()
 
-    @rule(id=st.sampled_from("abcde"))
+    @rule(id=st.sampled_from("ab"))
     def give_up(self, id: str) -> None:
         if self.open.pop(id, None) is not None:
             self.service.give_up(id)
@@ -328,6 +328,7 @@
             self.settle()
             assert self.open.get(id) != number, "a call whose reply came did not end"
 
+    @precondition(lambda self: len(self.open) == 2)
     @rule(junk=st.sampled_from([b"", b"what\r\n", b"x" * 600, b"a DONE 99999999\r\n"]))
     def connection_ends(self, junk: bytes) -> None:
         for wire in self.wires:
