--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -114,6 +114,19 @@
     on_sockets(test)
 
 
+def test_an_idle_connection_with_half_a_frame_is_told_goodbye_and_closed() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        world.env["familyInfo"]["keepaliveMax"] = 0.2
+        await world.start(stack)
+        half = await world.connect()
+        half.writer.write(array(b"RPC.CALL", b"1")[:9])
+        await eventually(lambda: half.ended)
+        assert half.answers[0] == [[b"BYE"]]
+        await half.close()
+
+    on_sockets(test)
+
+
 HOSTILE = {
     "not resp": b"GET / HTTP/1.1\r\n\r\n",
     "huge array": b"*99999\r\n",
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,44 @@
+"""The clock, the log, the counters and invariants."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+from chutepin.ops import LOG_LINES, Clock, Counters, Log
+
+from .helper import ROOT
+
+
+def test_time_never_runs_backwards() -> None:
+    times = iter([5.0, 3.0, 4.9, 6.0])
+    clock = Clock(lambda: next(times))
+    assert [clock.now() for _ in range(4)] == [5.0, 5.0, 5.0, 6.0]
+
+
+def test_the_log_is_limited_and_counts_what_it_drops(capsys: pytest.CaptureFixture[str]) -> None:
+    time = [0.0]
+    log = Log(Clock(lambda: time[0]))
+    for index in range(LOG_LINES + 5):
+        log.line(f"line {index}")
+    time[0] = 1.0
+    log.line("later")
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == LOG_LINES + 1 and lines[-1] == "chutepin: later" and log.dropped == 5
+
+
+def test_invariants_are_asserted_in_debug_and_counted_in_release() -> None:
+    with pytest.raises(AssertionError, match="sound"):
+        Counters().holds(False, "sound")
+    code = "from chutepin.ops import Counters; c = Counters(); print(c.holds(False, 'sound'), c.text())"
+    done = subprocess.run([sys.executable, "-O", "-c", code], cwd=ROOT, capture_output=True, text=True,
+                          check=True)
+    assert done.stdout == "False invariant.sound=1\n"
+
+
+def test_a_log_that_nobody_reads_does_not_end_the_node() -> None:
+    code = "import os; from chutepin.ops import say; os.close(2); say('x'); print('alive')"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=False)
+    assert done.stdout == "alive\n"
