The core itself answers what the module forgot; no repeat of what ran is turned away

Seen by reading: an answer that the module missed would never have been given, a full node refused a repeat of a work order that had run (BUSY promises the opposite), and a socket's own time-out on the AMQP link, whose type is that of our look at the clock, would have come again without a pause. Each has a test that fails without the change. Random steps show that the module leaves no answer to this guard (answers.overdue stays 0).

--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -25,6 +26,7 @@
 KEY_SLACK = 0.1  # seconds that a window is stretched by: an entry may outlive its window, never the reverse
 KEY_GRACE = 5.0  # an entry stays this long after its window, for tries that came in time but are read late
 LINGER = 60.0  # seconds that a run nobody waits for may go on where the executor cannot see that
+OVERDUE = 0.06  # seconds past its due time at which the core itself answers what the module did not
 METER_WAIT = 0.015  # seconds that a timer waits for fresh gauges
 
 
@@ -153,6 +155,7 @@
         self._reports: deque[facade.Report] = deque()
         self._reporting = False
         self._timers: list[tuple[float, int]] = []
+        self._dues: list[tuple[float, str]] = []
         self._metered: list[int] = []  # timers that have come due and wait for gauges
         self._meter_until = 0.0
         self._gauges: tuple[float, ...] = ()
@@ -201,7 +204,8 @@
             # Before the executor is up nothing can run; a full table could not keep a run from being
             # repeated; without a key nothing tells a repeat.
             self._counters.add("requests.full" if full else "requests.not_taken")
-            self._answer_now(caller, Answer(Verdict.REFUSED, value=self._value))
+            verdict = Verdict.FAILED if self._key_ran(request) else Verdict.REFUSED
+            self._answer_now(caller, Answer(verdict, value=self._value))
             return
         # Guards what the module learns from the wait, and the windows of keys, against times that cannot be.
         now = self._clock.now()
@@ -212,6 +216,12 @@
             request.size, request.rank, request.caller, request.again,
             (entry.ran or entry.holder) if entry else None)
         self._settle(lambda: self._facade.pick(self._clock.now(), offer))
+        if request.id in self._attempts:
+            heapq.heappush(self._dues, (max(now, min(request.due, now + cls.deadline)) + OVERDUE, request.id))
+            if len(self._dues) > 2 * len(self._attempts) + MAX_REQUESTS:  # most are answered long before
+                self._dues = [due for due in self._dues if due[1] in self._attempts]
+                heapq.heapify(self._dues)
+            self._arm()
 
     def gone(self, id: str) -> None:
         """The caller no longer waits: no answer is owed."""
@@ -316,12 +326,27 @@
                     self._meter_until = now + METER_WAIT if self._executor.meter() else now
             if self._metered and now >= self._meter_until:
                 self._fire()
+            self._answer_overdue(now)
             if now >= self._sweep_at:
                 self._sweep_at = now + 1.0
                 self._sweep(now)
         finally:
             self._arm()  # guards against an error above stopping all time
 
+    def _answer_overdue(self, now: float) -> None:
+        """Guards the promise itself: should the module miss a due time or the stop, the core answers."""
+        late = []
+        while self._dues and self._dues[0][0] <= now:
+            late.append(heapq.heappop(self._dues)[1])
+        if self._drain_stop is not None and now >= self._drain_stop + OVERDUE / 2:
+            late += list(self._attempts)
+        for id in late:
+            attempt = self._attempts.get(id)
+            if attempt is not None and attempt.owed:
+                self._counters.add("answers.overdue")
+                self._answer(attempt, Answer(Verdict.FAILED, value=self._value))
+                self._report(Left(id))
+
     def _fire(self) -> None:
         due, self._metered = self._metered, []
         for token in due:
@@ -329,7 +354,10 @@
                 self._clock.now(), token, self._gauges))
 
     def _arm(self) -> None:
-        at = self._timers[0][0] if self._timers else self._clock.now() + 1.0
+        at = min(self._timers[0][0] if self._timers else math.inf, self._clock.now() + 1.0,
+                 self._dues[0][0] if self._dues else math.inf)
+        if self._drain_stop is not None and self._attempts:
+            at = min(at, max(self._clock.now() + 0.01, self._drain_stop + OVERDUE / 2))
         self._alarm.set(min(at, self._meter_until) if self._metered else at)
 
     # --- what the module has done (facade.Core) ---
@@ -355,14 +383,17 @@
 
     def refuse(self, id: str, hold_off: float, terminal: bool) -> None:
         """Turn away. BUSY promises that the try never ran: what ran is failed instead."""
-        attempt = self._attempts[id]
-        never = attempt.phase in (Phase.HELD, Phase.SHARING)
+        attempt = self._attempts.get(id)
+        if attempt is None:  # answered when it was overdue
+            return
+        never = attempt.phase is Phase.HELD and not self._key_ran(attempt.request)
         verdict = Verdict.REFUSED if never else Verdict.FAILED
         self._answer(attempt, Answer(verdict, b"", hold_off, terminal, self._value))
 
     def fail(self, id: str) -> None:
         """Answer with an error; what still runs stays in hand until it ends."""
-        self._answer(self._attempts[id], Answer(Verdict.FAILED, value=self._value))
+        if (attempt := self._attempts.get(id)) is not None:
+            self._answer(attempt, Answer(Verdict.FAILED, value=self._value))
 
     def call(self, id: str, deadline: float) -> None:
         """Make the call that a run stands at."""
@@ -475,6 +506,11 @@
         entry = self._keys.get(request.key)
         return entry if entry is not None and request.arrived <= entry.until else None
 
+    def _key_ran(self, request: Request) -> bool:
+        """Some try of this request ran: then no try of it is turned away as if none had."""
+        entry = self._keys.get(request.key or "")
+        return entry is not None and entry.ran is not None and request.arrived <= entry.until
+
     def keep_key(self, id: str, until: float) -> None:
         """Enter a try into the table, or hand an entry that never ran over to a newer try."""
         request = self._attempts[id].request
--- a/chutepin/net/amqp.py
+++ b/chutepin/net/amqp.py
@@ -445,6 +445,9 @@
         except ProtocolError as error:
             self.counters.add("amqp.protocol")
             self.log.line(f"amqp: {error}")
+        except Exception as error:  # guards the front's life: a fault of ours costs one link, not the node
+            self.counters.add("errors")
+            self.log.line(f"amqp: {error!r}")
         finally:
             if self._leaving and self.settled:
                 session.close()
@@ -469,7 +472,9 @@
                     raise ConnectionError("the broker closed the link")
                 heard = loop.time()
             except TimeoutError:
-                pass
+                if reader.exception() is not None:
+                    # The socket's own time-out has the same type, and comes again at once with every read.
+                    raise ConnectionError("the link timed out") from None
             session.received(data)
             now = loop.time()
             if session.state is not State.READY and now > began + OPEN_BY:
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -335,6 +335,19 @@
     assert sent[-1] == b"\x01\0\x01\0\0\0\x0d\0\x3c\0\x50\0\0\0\0\0\0\0\x07\0\xce"  # ack 7
 
 
+def test_a_link_that_the_system_timed_out_is_left() -> None:
+    """The error has the type of our own look at the clock; taken for that it came again without a pause."""
+    consumer, session = quiet_session([], Core())
+
+    async def run() -> None:
+        reader = asyncio.StreamReader()
+        reader.set_exception(TimeoutError(110, "Connection timed out"))
+        await consumer._read(session, reader)
+
+    with pytest.raises(ConnectionError):
+        asyncio.run(run())
+
+
 def test_a_frame_over_the_bound_or_without_its_end_ends_the_link() -> None:
     for raw in (b"\x01\0\0\xff\xff\xff\xff", b"\x08\0\0\0\0\0\0\x00", b"HTTP/1.1 400"):
         parser = FrameParser()
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from chutepin import broker
 from chutepin.facade import End
 
 from .helper import STEPS, WINDOW, Core
@@ -59,6 +60,20 @@
     assert core.ports.ids("exec") == ["a"]
 
 
+def test_the_core_answers_what_the_module_forgot() -> None:
+    core = Core()
+    core.pick("a", "work-order", key="k", wait=1.0)
+    core.broker._timers.clear()  # a module that never looks again
+    core.broker.set_timer = lambda token, at: None  # type: ignore[method-assign]
+    core.pass_time(0.9)
+    assert not core.words("a")
+    core.pass_time(0.2)
+    assert core.words("a") == ["failed"] and core.counters.counts["answers.overdue"] == 1
+    core.end("a")
+    core.pick("b", "work-order", key="k")
+    assert core.words("b") == ["served"] and core.ports.ids("exec") == ["a"]
+
+
 def test_a_repeat_waits_for_the_run_and_gets_its_result() -> None:
     core = Core()
     core.pick("a", "work-order", key="k")
@@ -79,6 +94,15 @@
     assert core.ports.ids("exec") == ["a", "c"]
 
 
+def test_a_repeat_of_what_ran_is_not_turned_away_by_a_full_node(monkeypatch: pytest.MonkeyPatch) -> None:
+    core = Core()
+    core.pick("a", "work-order", key="k")
+    monkeypatch.setattr(broker, "MAX_REQUESTS", 1)
+    core.pick("b", "work-order", key="k")
+    core.pick("c", "work-order", key="other")
+    assert core.words("b") == ["failed"] and core.words("c") == ["refused"]
+
+
 def test_proof_that_nothing_started_frees_the_key() -> None:
     core = Core()
     core.pick("a", "work-order", key="k")
@@ -97,7 +121,7 @@
     assert core.ports.ids("exec") == ["a"] and core.words("b") == ["refused"]
     assert core.ports.answers["b"][0].hold_off > 0
     core.pass_time(2.4)
-    assert core.words("a") == ["failed"]
+    assert core.words("a") == ["failed"] and not core.counters.counts["answers.overdue"]
 
 
 def test_odd_requests_are_answered_and_harm_nothing() -> None:
@@ -184,6 +208,7 @@
             return
         ports, now = self.core.ports, self.core.hand.time
         executed = ports.ids("exec")
+        assert not self.core.counters.counts["answers.overdue"], "the module left an answer to the core"
         assert len(executed) == len(set(executed))
         for id, (_, due) in self.live.items():
             words = self.core.words(id)
