Command line, structured log, operator's KDL file, demo; tests on all cores

The store and the subsystems after it need sub-commands, a log of events, a file of settings with units, and a newcomer had no way to run the main job: the README's start command needs a config.json and an executor that the repository did not offer.

The entry becomes chutepin/node.py, serve.py and a lazily loaded click command line; ops.Log writes events through structlog in plain or JSON; chutepin/config/ reads deploy/node.kdl with ckdl; the tests' stand-ins move to chutepin/lab/ and serve the demo as well; tests/run uses pytest-xdist.

--- /dev/null
+++ b/benchmarks/memory.py
@@ -0,0 +1,29 @@
+"""Memory of a node at rest: VmRSS in KiB of the program between stand-ins, a second after its start.
+
+`python -m benchmarks.memory [OPTION …]`: the options are the node's. The figure of a release build (`-O`)."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from chutepin.lab.standins import EXAMPLE, Standins
+
+
+async def at_rest(*options: str) -> int:
+    """Start a node and read what it holds."""
+    async with AsyncExitStack() as stack:
+        world = Standins(EXAMPLE["settings"])
+        await world.start(stack, *options, environ={"PYTHONOPTIMIZE": "1"})
+        await asyncio.sleep(1.0)
+        assert world.process is not None
+        status = Path(f"/proc/{world.process.pid}/status").read_text()
+        return int(status.split("VmRSS:")[1].split()[0])
+
+
+if __name__ == "__main__":
+    print(f"python {'.'.join(map(str, sys.version_info[:3]))}, {os.cpu_count()} cores:",
+          *(asyncio.run(at_rest(*sys.argv[1:])) for _ in range(3)), "KiB")
--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -311,7 +311,7 @@
     def not_carried_out(self, command: str, id: str) -> None:
         """The executor did not carry out a command: a run that it never began has not run."""
         self._counters.add("executor.bad")
-        self._log.line(f"the executor did not carry out {command} {id}")
+        self._log.event("executor.not_carried_out", command=command, id=id)
         attempt = self._attempts.get(id)
         # Also where the run was stopped meanwhile: else it would never end, and look like a hang.
         if command == "EXEC" and attempt is not None and attempt.phase in (Phase.RUNNING, Phase.STOPPED):
@@ -466,7 +466,7 @@
 
     def remark(self, text: str) -> None:
         """A line of the module for the log."""
-        self._log.line(text)
+        self._log.event("module", text=text)
 
     # --- answers ---
 
--- /dev/null
+++ b/chutepin/cli/demo.py
@@ -0,0 +1,47 @@
+"""`python -m chutepin demo`: the whole program at work on one machine, with a live table of outcomes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from typing import TYPE_CHECKING
+
+import click
+
+from ..lab.demo import OUTCOMES, Demo, Tally
+
+if TYPE_CHECKING:
+    from rich.table import Table
+
+
+def table(tally: Tally) -> Table:
+    """Outcomes by class."""
+    from rich.table import Table
+
+    made = Table("class", "sent", *OUTCOMES, "median ms", "99 % ms", title="one final answer for each request")
+    for cls, sent in sorted(tally.sent.items()):
+        times = [tally.time(cls, part) for part in (0.5, 0.99)]
+        made.add_row(cls, str(sent), *(str(tally.outcomes[cls, outcome]) for outcome in OUTCOMES),
+                     *("" if value is None else f"{value:.1f}" for value in times))
+    return made
+
+
+@click.command("demo")
+@click.option("--seconds", type=click.FloatRange(0.1, 3600), default=10.0, show_default=True,
+              help="How long requests are sent.")
+@click.option("--seed", type=int, default=1, show_default=True, help="Of the mix of requests.")
+@click.option("--json", "as_json", is_flag=True, help="Print the outcomes as one JSON object at the end.")
+def command(seconds: float, seed: int, as_json: bool) -> int:
+    """Run a node on loopback between stand-ins of executor, records and control plane; 1 if an answer lacks."""
+    if as_json or not sys.stdout.isatty():
+        tally = asyncio.run(Demo(seconds, seed, lambda _: None).run())
+        click.echo(json.dumps(tally.as_dict(), indent=None if as_json else 2))
+    else:
+        try:
+            from rich.live import Live
+        except ImportError:
+            raise click.ClickException("the live table needs requirements-tools.txt; or use --json") from None
+        with Live(table(Tally()), refresh_per_second=10) as live:
+            tally = asyncio.run(Demo(seconds, seed, lambda tally: live.update(table(tally))).run())
+    return 0 if tally.sound else 1
--- /dev/null
+++ b/chutepin/config/__init__.py
@@ -0,0 +1,20 @@
+"""What an operator writes, checked before anything starts.
+
+`load` reads the platform's JSON, `load_amqp` the queues of the AMQP front, `load_setup` the operator's own file with
+one block for each subsystem. Each raises `ConfigError`, whose message is one line that names the field."""
+
+from .operator import LogSetup, Setup, StoreSetup, load_setup, parse_setup
+from .platform import (
+    Address,
+    AmqpConfig,
+    Config,
+    ConfigError,
+    QueueConfig,
+    load,
+    load_amqp,
+    parse,
+    parse_amqp,
+)
+
+__all__ = ["Address", "AmqpConfig", "Config", "ConfigError", "LogSetup", "QueueConfig", "Setup", "StoreSetup",
+           "load", "load_amqp", "load_setup", "parse", "parse_amqp", "parse_setup"]
--- a/chutepin/config.py
+++ b/chutepin/config/platform.py
@@ -1,4 +1,4 @@
-"""A node's configuration: the platform's JSON file and the operator's for AMQP, checked field by field."""
+"""The platform's JSON file and the operator's for AMQP, checked field by field."""
 
 from __future__ import annotations
 
--- a/chutepin/net/amqp.py
+++ b/chutepin/net/amqp.py
@@ -305,7 +305,7 @@
             request = self._request(queue, content, content.properties)
         except ProtocolError as error:
             self.counters.add("amqp.malformed")
-            self.log.line(f"a delivery is rejected: {error}")
+            self.log.event("amqp.rejected", why=str(error))
             session.settle(tag, commands.Basic.Reject(tag, requeue=False))
             return
         if request.due <= self.clock.now():
@@ -441,13 +441,13 @@
             session.begin()
             await self._read(session, reader)
         except OSError as error:
-            self.log.line(f"amqp: {error or type(error).__name__}")
+            self.log.event("amqp.lost", why=str(error) or type(error).__name__)
         except ProtocolError as error:
             self.counters.add("amqp.protocol")
-            self.log.line(f"amqp: {error}")
+            self.log.event("amqp.protocol", why=str(error))
         except Exception as error:  # guards the front's life: a fault of ours costs one link, not the node
             self.counters.add("errors")
-            self.log.line(f"amqp: {error!r}")
+            self.log.event("amqp.error", error=repr(error))
         finally:
             if self._leaving and self.settled:
                 session.close()
--- a/chutepin/net/executor.py
+++ b/chutepin/net/executor.py
@@ -183,7 +183,7 @@
                 self.notices.not_carried_out(word(words, 1), words[2] if len(words) > 2 else "")
             case "LOG":
                 if self._new(int(number(words, 1))):
-                    self._log.line("executor: " + " ".join(words[2:]))
+                    self._log.event("executor.says", text=" ".join(words[2:]))
             case _:
                 raise ProtocolError(f"unknown notice {words[0][:20]}")
 
@@ -295,7 +295,7 @@
                 self._counters.add("executor.moved" if self._moving else "executor.lost")
                 if self._moving:
                     continue
-                self._log.line("the executor's link is lost")
+                self._log.event("executor.lost")
             await asyncio.sleep(pause)
             pause = min(2 * pause, AGAIN_AT_MOST)
 
@@ -311,10 +311,10 @@
             while data := await reader.read(65536):
                 self._session.received(data)
         except OSError as error:
-            self._log.line(f"executor: {error}")
+            self._log.event("executor.broken", why=str(error))
         except ProtocolError as error:
             self._counters.add("executor.malformed")
-            self._log.line(f"executor: {error}")
+            self._log.event("executor.malformed", why=str(error))
         except Exception as error:  # guards the link's life: a fault of ours costs one notice, not the node
             self._counters.add("errors")
-            self._log.line(f"executor: {error!r}")
+            self._log.event("executor.error", error=repr(error))
--- a/chutepin/net/records.py
+++ b/chutepin/net/records.py
@@ -164,7 +164,7 @@
             self._counters.add("records.lost" if stood else "records.refused")
         except ProtocolError as error:
             self._counters.add("records.malformed")
-            self._log.line(f"records: {error}")
+            self._log.event("records.malformed", why=str(error))
         finally:
             self._connections.remove(connection)
             if connection.writer is not None:
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -172,7 +172,7 @@
                 self.front.message(self, items)
         except ProtocolError as error:
             self.front.counters.add("balancers.malformed")
-            self.front.log.line(f"a balancer's connection: {error}")
+            self.front.log.event("balancers.malformed", why=str(error))
             self.give_up()
         if whole or self.whole_by == math.inf:
             # Guards the table of connections against messages that begin and never end, however they trickle.
--- /dev/null
+++ b/chutepin/node.py
@@ -0,0 +1,186 @@
+"""One node: its parts put together, served, reloaded and drained."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import signal
+from collections.abc import Awaitable
+from typing import TYPE_CHECKING
+
+from poststall import api
+
+from .broker import Broker
+from .config import AmqpConfig, Config, ConfigError, load
+from .net.control import Reporter
+from .net.executor import ExecutorLink, Session
+from .net.records import RecordsService
+from .net.resp import SWEEP, Front
+from .ops import Clock, Counters, Log, LogFormat
+
+if TYPE_CHECKING:
+    from .net.amqp import Consumer
+    from .pcap import Recorder, Source
+
+STOP_MARGIN = 0.15  # seconds before the process is stopped by which all is answered
+
+
+class LoopAlarm:
+    """The core's one timer on the event loop."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._handle: asyncio.TimerHandle | None = None
+        self._at = 0.0
+        self.broker: Broker | None = None
+
+    def set(self, at: float) -> None:
+        """Tick then."""
+        if self._handle is not None:
+            if self._at == at and not self._handle.cancelled():
+                return
+            self._handle.cancel()
+        loop = asyncio.get_running_loop()
+        self._at = at
+        self._handle = loop.call_at(loop.time() + max(0.0, at - self._clock.now()), self._ring)
+
+    def _ring(self) -> None:
+        self._handle = None
+        assert self.broker is not None
+        self.broker.tick()
+
+
+class Node:
+    """The parts of one node, put together."""
+
+    def __init__(self, config: Config, amqp: AmqpConfig | None = None, read: str | None = None,
+                 record: str | None = None, log_format: LogFormat = LogFormat.PLAIN) -> None:
+        self.config = config
+        self.clock = Clock()
+        self.counters = Counters()
+        self.log = Log(self.clock, log_format)
+        alarm = LoopAlarm(self.clock)
+        session = Session(self.clock, self.counters, self.log,
+                          config.settings.halt is api.Halt.PAUSE)
+        self.executor = ExecutorLink(config.executor, session, self.counters, self.log)
+        self.records = RecordsService(config.records, self.clock, self.counters, self.log,
+                                      max(4, config.sockets // 5))
+        self.broker = Broker(config.settings, config.seed, self.clock, self.counters, self.log,
+                             self.executor, self.records, alarm, config.memory)
+        alarm.broker = session.notices = self.records.listener = self.broker
+        self.front = Front(self.broker, self.clock, self.counters, self.log, config.sockets)
+        self.consumer: Consumer | None = None
+        if amqp is not None:
+            # Loaded only where an operator turns the front on: the platform's nodes need no codec for it.
+            from .net.amqp import Consumer
+            self.consumer = Consumer(amqp, self.broker, self.clock, self.counters, self.log, config.seed)
+        self.source: Source | None = None
+        self.recorder: Recorder | None = None
+        if read is not None or record is not None:  # loaded only where files are read or written
+            from .pcap import Recorder, Source
+            if record is not None:
+                recorder = Recorder(record, self.clock, self.counters, config.listen.port)
+                self.front.tap = self.recorder = recorder
+            if read is not None:
+                self.source = Source(read, config.listen.port, self.front, self.clock)
+        self.reporter = Reporter(config.control, config.name, self._ready, self.counters)
+        self._told = asyncio.Event()
+
+    def print_counters(self) -> None:
+        """On request and at exit; never dropped by the rate limit."""
+        dropped = {"log.dropped": self.log.dropped} if self.log.dropped else {}
+        self.log.always("counters", **dict(sorted(self.counters.counts.items())), **dropped)
+
+    def reload(self) -> None:
+        """Read the configuration again and meet executor, records and control plane where it says now.
+
+        Guards a node that serves against a file that is half written or wrong: it is checked whole before
+        anything is swapped, and a bad one changes nothing."""
+        try:
+            config = load()
+        except ConfigError as error:
+            self.counters.add("reloads.bad")
+            self.log.event("reload.kept_old", why=str(error))
+            return
+        kept = dataclasses.replace(
+            self.config, executor=config.executor, records=config.records, control=config.control)
+        if kept != config:
+            other = [field.name for field in dataclasses.fields(kept)
+                     if getattr(kept, field.name) != getattr(config, field.name)]
+            self.log.event("reload.only_addresses", ignored=",".join(other))
+        self.config = kept
+        self.executor.move(config.executor)
+        self.records.move(config.records)
+        self.reporter.move(config.control)
+        self.counters.add("reloads")
+
+    async def run(self) -> int:
+        """Serve until told to leave, then leave."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._told.set)
+        loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.set_exception_handler(self._failed)
+        try:
+            await self.front.listen(self.config.listen)
+        except OSError as error:
+            raise ConfigError(f"listen: {error.strerror or error}") from None
+        work: list[Awaitable[None]] = [self.executor.run(), self._sweep(), self.reporter.run()]
+        if self.consumer is not None:
+            work.append(self.consumer.run())
+        if self.source is not None:
+            work.append(self._replay(self.source))
+        tasks = [asyncio.ensure_future(part) for part in work]
+        self.broker.tick()
+        self.log.event("serves", name=self.config.name, listen=f"{self.config.listen.host}:{self.config.listen.port}")
+        await self._told.wait()
+        await self._leave()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self.recorder is not None:
+            self.front.close_replayed()
+            self.recorder.close()
+        self.print_counters()
+        return 0
+
+    async def _replay(self, source: Source) -> None:
+        """Feed a file once the executor is up; leave after its end."""
+        while not self.broker.started:
+            await asyncio.sleep(0.01)
+        await source.run()
+        self.log.event("pcap.read", **dataclasses.asdict(source.report))
+        while self.broker.in_hand:
+            await asyncio.sleep(0.01)
+        self._told.set()
+
+    def _ready(self) -> bool:
+        return self.broker.good and not self._told.is_set()
+
+    def _failed(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        """Guards the node against an error in one connection's handling: the rest serves on."""
+        self.counters.add("errors")
+        self.log.event("error", message=str(context.get("message")), error=repr(context.get("exception")))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP)
+            self.front.close_idle()
+            self.front.close_replayed()
+            self.records.close_idle()
+
+    async def _leave(self) -> None:
+        """Serve through the grace, say goodbye, and go once all is answered and the balancers have closed."""
+        self.log.event("leaves")
+        stop = self.clock.now() + self.config.stop - STOP_MARGIN
+        self.broker.drain(stop)
+        if self.consumer is not None:
+            self.consumer.leave()
+        grace = self.broker.last_arrival or stop
+        while self.clock.now() < min(grace, stop):
+            await asyncio.sleep(0.02)
+        self.front.leave()
+        while self.clock.now() < stop + STOP_MARGIN / 3 and (
+                self.broker.in_hand or self.front.connections
+                or (self.consumer is not None and not self.consumer.settled)):
+            await asyncio.sleep(0.01)
--- a/chutepin/pcap.py
+++ b/chutepin/pcap.py
@@ -41,13 +41,6 @@
     unused: int = 0  # bytes behind a gap
     truncated: bool = False  # the file ends inside a packet
 
-    def text(self) -> str:
-        """One line for the log."""
-        cut = " the file is cut off inside a packet;" if self.truncated else ""
-        return (f"pcap:{cut} {self.packets} packets, {self.other} other, {self.malformed} malformed, "
-                f"{self.again} again, {self.reordered} reordered, {self.gaps} streams with gaps, "
-                f"{self.unused} bytes unused")
-
 
 class Bounded:
     """A file for dpkt's reader, which asks for as many bytes as a packet's header claims."""
--- /dev/null
+++ b/chutepin/serve.py
@@ -0,0 +1,29 @@
+"""Start one node from its configuration; bad configuration is one line and exit code 2."""
+
+from __future__ import annotations
+
+import asyncio
+
+from .config import ConfigError, Setup, load, load_amqp, load_setup
+from .node import Node
+from .ops import LogFormat, say
+
+
+def serve(*, setup: str | None = None, amqp: str | None = None, read: str | None = None,
+          record: str | None = None, log_format: LogFormat | None = None) -> int:
+    """Serve until told to leave.
+
+    `setup`, `amqp`, `read` and `record` are paths of the operator's file, the file of queues, a pcap file to take
+    requests from and one to write. Exit codes: 0 after a drain, 2 for bad configuration, 130 when interrupted."""
+    try:
+        config = load()
+        operator = load_setup(setup) if setup else Setup()
+        queues = load_amqp(amqp, config.settings) if amqp else None
+        node = Node(config, queues, read, record, log_format or operator.log.format)
+        return asyncio.run(node.run())
+    except ConfigError as error:
+        say(str(error))
+        return 2
+    except KeyboardInterrupt:
+        say("interrupted")
+        return 130
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -18,12 +18,13 @@
 
 from chutepin.config import ConfigError, load_amqp
 from chutepin.facade import End
+from chutepin.lab.standins import eventually
 from chutepin.net.amqp import GREETING, Consumer, Content, FrameParser, Session, State, decode
 from chutepin.net.lines import ProtocolError
 from chutepin.ops import Log
 from poststall import wire
 
-from .helper import ENV, ROOT, STEPS, Core, Standins, eventually
+from .helper import ENV, ROOT, STEPS, Core, Standins
 
 Properties = commands.Basic.Properties
 SECRET = {"CHUTEPIN_AMQP_PASSWORD": "cane"}
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,6 +13,7 @@
 from chutepin.broker import Answer, Verdict
 from chutepin.config import Address
 from chutepin.facade import End
+from chutepin.lab.standins import eventually
 from chutepin.net import records
 from chutepin.net.executor import ExecutorLink, Session
 from chutepin.net.lines import LineParser, ProtocolError, line
@@ -20,7 +21,7 @@
 from chutepin.net.resp import Connection, Front, RespParser, array, format_answer, parse_call
 from chutepin.ops import Clock, Counters, Log
 
-from .helper import STEPS, Core, Hand, eventually
+from .helper import STEPS, Core, Hand
 
 
 class Balancers(RuleBasedStateMachine):
