--- /dev/null
+++ b/chutepin/store/state.py
@@ -0,0 +1,348 @@
+"""What a store knows in memory: the index, the segments and where the next record goes. No files, no clock.
+
+The truth is the order of the log: the last record of a key tells. The index holds the place of each live one. Times
+are Unix time in ms, places are packed as `codec.LOCATION`, which takes a third of the memory of a tuple."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from .codec import DATA_AT, HINT_ENTRY, LOCATION, NEVER, RECORD_HEAD, SEAL_SIZE, HintWriter, Kind, Run, encode
+
+PUT, DELETE, SEAL = int(Kind.PUT), int(Kind.DELETE), int(Kind.SEAL)  # as plain numbers: twice as fast to compare
+_pack = LOCATION.pack
+
+KEY_MEMORY = 250  # bytes of memory for a key besides its own, measured by benchmarks/store.py
+BUCKET = 10  # an expiry bucket is 2**10 ms
+STALE_REFERENCES = 4096  # expiry references without a key that are put up with, besides as many as there are keys
+
+
+@dataclass(slots=True)
+class Segment:
+    """A segment of the log as the index sees it. Sizes in bytes."""
+
+    number: int
+    end: int = DATA_AT  # where the next record goes, or the segment ends
+    live: int = 0  # of records that tell, with their share of the hint
+    telling: int = 0  # how many those are
+    count: int = 0
+    last: int = 0  # seq of the last record
+    sealed: bool = False  # nothing more is laid out here
+    durable: int = DATA_AT  # all below was synced
+    hint_bytes: int = 0
+    hint: HintWriter | None = None  # until the hint is written
+    # Older segments that hold records which a record here overrules. While one of them exists this segment must too:
+    # without it, what was deleted, replaced or expired would come back.
+    covers: set[int] = field(default_factory=set)
+
+    damaged: bool = False  # reading it failed: it stays as it is, for `repair`
+
+    @property
+    def data(self) -> int:
+        """Bytes of its records with their hints."""
+        return self.end - DATA_AT + self.hint_bytes
+
+    @property
+    def whole(self) -> bool:
+        """Sealed, and durable as a whole."""
+        return self.sealed and self.durable == self.end
+
+    @property
+    def dead(self) -> int:
+        """Records that tell no more, the seal left out."""
+        return self.count - self.telling - self.sealed
+
+
+@dataclass(slots=True)
+class Part:
+    """Records of one segment that follow each other, to be written."""
+
+    segment: int
+    offset: int
+    buffers: list[bytes] = field(default_factory=list)
+
+    @property
+    def size(self) -> int:
+        """Bytes."""
+        return sum(map(len, self.buffers))
+
+
+class Book:
+    """Index, segments and layout of one store. Not safe for threads by itself."""
+
+    def __init__(self, segment_bytes: int) -> None:
+        self.segment_bytes = segment_bytes
+        self.index: dict[bytes, bytes] = {}
+        self.segments: dict[int, Segment] = {}  # in the order of the log
+        self.active: Segment | None = None
+        self.spares: deque[Segment] = deque()  # laid out, durable, named by the manifest; they take the log on
+        self.seq = 0  # of the last record laid out
+        self.live = 0  # bytes of all records that tell
+        self.key_bytes = 0  # of all keys of the index
+        self.disk = 0  # bytes of all segments and hints
+        self._buckets: dict[int, list[bytes]] = {}
+        self._due: list[int] = []
+        self._references = 0
+        self.due = NEVER  # when the next bucket of expiries is over (ms)
+        self.queue: list[Part] = []  # laid out, to be written
+        self._part: Part | None = None  # the last of them
+        self.queued = 0  # bytes laid out and not durable yet
+        self.unwritten: dict[int, bytes] = {}  # (segment << 32 | offset) to a record that is in no file yet
+        self._writing: dict[int, bytes] = {}  # the same, of what was taken to be written
+
+    # --- layout ---
+
+    def add_segment(self, segment: Segment) -> None:
+        """A segment at the end of the log."""
+        self.segments[segment.number] = segment
+        self.disk += self.segment_bytes + segment.hint_bytes
+
+    def fits(self, size: int) -> bool:
+        """A record of this size goes into the active segment, and the seal after it."""
+        return self.active is not None and self.active.end + size + SEAL_SIZE <= self.segment_bytes
+
+    def largest(self) -> int:
+        """The largest record that any segment takes."""
+        return self.segment_bytes - DATA_AT - SEAL_SIZE
+
+    def roll(self) -> None:
+        """Seal the active segment, if there is one, and go on in a spare."""
+        if self.active is not None:
+            self.lay(SEAL, b"", b"", NEVER)
+            self.active.sealed = True
+        self.active = self.spares.popleft()
+
+    def lay(self, kind: int, key: bytes, value: bytes, expires: int) -> None:
+        """Lay out a record at the end of the active segment, where it fits, as the caller has seen to."""
+        segment = self.active
+        assert segment is not None and segment.hint is not None
+        number, end, hint = segment.number, segment.end, segment.hint
+        seq = self.seq = self.seq + 1
+        data = encode(kind, seq, segment.durable, expires, key, value)
+        size = len(data)
+        location = _pack(expires, number, end, size)
+        hint.add(kind, key, expires, location, size)
+        self.disk += hint.bytes - segment.hint_bytes
+        segment.hint_bytes = hint.bytes
+        segment.end = end + size
+        segment.count += 1
+        segment.last = seq
+        part = self._part
+        if part is None or part.segment != number:
+            part = self._part = Part(number, end)
+            self.queue.append(part)
+        part.buffers.append(data)
+        self.queued += size
+        self.unwritten[number << 32 | end] = data
+        if kind != SEAL:
+            self._take(segment, kind, key, expires, location, size)
+
+    def take_queue(self) -> list[Part]:
+        """All that is laid out and not taken yet, to be written in this order. Until `written` it can be read."""
+        taken, self.queue, self._part = self.queue, [], None
+        self._writing.update(self.unwritten)
+        self.unwritten = {}
+        return taken
+
+    def written(self, parts: list[Part]) -> None:
+        """All that was taken is in its files."""
+        self._writing = {}
+        self.queued -= sum(part.size for part in parts)
+
+    def in_memory(self, number: int, offset: int) -> bytes | None:
+        """A record that is not in its file yet."""
+        place = number << 32 | offset
+        return self.unwritten.get(place) or self._writing.get(place)
+
+    # --- index ---
+
+    def _take(self, segment: Segment, kind: int, key: bytes, expires: int, location: bytes, size: int) -> None:
+        old = self.index.get(key)
+        if old is not None:
+            old_expires = self._gone(key, old, segment.number)
+        if kind != PUT:
+            if old is not None:
+                del self.index[key]
+                self.key_bytes -= len(key)
+            return
+        self.index[key] = location
+        key_size = len(key)
+        cost = size + key_size + HINT_ENTRY
+        segment.live += cost
+        segment.telling += 1
+        self.live += cost
+        if old is None:
+            self.key_bytes += key_size
+        if expires < NEVER and (old is None or old_expires >> BUCKET > expires >> BUCKET):
+            self._refer(key, expires >> BUCKET)
+            if self._references > 2 * len(self.index) + STALE_REFERENCES:
+                self._refer_anew()
+
+    def _gone(self, key: bytes, location: bytes, by: int) -> int:
+        """The record at a place tells no more, overruled by one in segment `by`; its expiry."""
+        expires, number, _, size = LOCATION.unpack(location)
+        cost = size + len(key) + HINT_ENTRY
+        self.segments[number].live -= cost
+        self.segments[number].telling -= 1
+        self.live -= cost
+        if number != by:
+            self.segments[by].covers.add(number)
+        return int(expires)
+
+    def find(self, key: bytes, now: int) -> tuple[int, int, int] | None:
+        """(segment, offset, size) of the record that tells, unless it has expired."""
+        location = self.index.get(key)
+        if location is None:
+            return None
+        expires, number, offset, size = LOCATION.unpack(location)
+        return (number, offset, size) if expires > now else None
+
+    def cost(self, key: bytes, size: int) -> tuple[int, int]:
+        """What a record of this size under this key adds to the live bytes and to the memory."""
+        old = self.index.get(key)
+        freed = LOCATION.unpack(old)[3] + len(key) + HINT_ENTRY if old is not None else 0
+        return size + len(key) + HINT_ENTRY - freed, (len(key) + KEY_MEMORY if old is None else 0)
+
+    @property
+    def memory(self) -> int:
+        """Estimate of the bytes of memory that the index takes."""
+        return self.key_bytes + KEY_MEMORY * len(self.index)
+
+    def replay(self, segment: Segment, kind: int, key: bytes, expires: int, location: bytes, size: int) -> None:
+        """A record read back, in the order of the log."""
+        if kind != SEAL:
+            self._take(segment, kind, key, expires, location, size)
+
+    def replay_runs(self, segment: Segment, runs: list[Run]) -> None:
+        """A segment's hint read back. Runs of new keys are taken in whole: opening costs little for each key."""
+        for run in runs:
+            if run.kind == SEAL:
+                continue
+            if run.kind == PUT:
+                pairs = list(run.entries())
+                fresh = dict(pairs)
+                if len(fresh) == len(pairs) and self.index.keys().isdisjoint(fresh):
+                    self.index.update(fresh)
+                    cost = run.total + run.count * (run.key_size + HINT_ENTRY)
+                    segment.live += cost
+                    segment.telling += run.count
+                    self.live += cost
+                    self.key_bytes += len(pairs) * run.key_size
+                    if run.bucket < NEVER >> BUCKET:
+                        self._refer_all(list(fresh), run.bucket)
+                    continue
+            for key, location in run.entries():
+                expires, _, _, size = LOCATION.unpack(location)
+                self._take(segment, run.kind, key, expires, location, size)
+
+    # --- expiry ---
+
+    def _refer(self, key: bytes, bucket: int) -> None:
+        self._refer_all([key], bucket)
+
+    def _refer_all(self, keys: list[bytes], bucket: int) -> None:
+        known = self._buckets.get(bucket)
+        if known is None:
+            self._buckets[bucket] = keys
+            heapq.heappush(self._due, bucket)
+            self._set_due()
+        else:
+            known.extend(keys)
+        self._references += len(keys)
+
+    def _refer_anew(self) -> None:
+        """Guards memory against keys that are put and deleted again and again with late expiries."""
+        self._buckets, self._references = {}, 0
+        for key, location in self.index.items():
+            expires = LOCATION.unpack(location)[0]
+            if expires < NEVER:
+                self._buckets.setdefault(expires >> BUCKET, []).append(key)
+                self._references += 1
+        self._due = sorted(self._buckets)
+        self._set_due()
+
+    def _set_due(self) -> None:
+        self.due = (self._due[0] + 1) << BUCKET if self._due else NEVER
+
+    def expire(self, now: int, most: int) -> bool:
+        """Forget up to `most` keys of buckets that are over; whether there are more."""
+        while self._due and (self._due[0] + 1) << BUCKET <= now:
+            bucket = self._due[0]
+            keys = self._buckets[bucket]
+            while keys:
+                if most <= 0:
+                    return True
+                most -= 1
+                self._references -= 1
+                self._expire_key(keys.pop(), now, bucket)
+            # An expiry that was put off refers to a later bucket by now, so this one takes in nothing more.
+            heapq.heappop(self._due)
+            del self._buckets[bucket]
+            self._set_due()
+        return False
+
+    def expire_all(self, now: int) -> None:
+        """Forget every key that has expired, also in the bucket that is not over yet."""
+        self.expire(now, 2**62)
+        bucket = now >> BUCKET
+        if bucket in self._buckets:
+            keys = self._buckets[bucket]
+            for key in keys:
+                location = self.index.get(key)
+                if location is not None and LOCATION.unpack(location)[0] <= now:
+                    self._forget(key, location)
+
+    def _expire_key(self, key: bytes, now: int, bucket: int) -> None:
+        location = self.index.get(key)
+        if location is None:
+            return
+        expires = LOCATION.unpack(location)[0]
+        if expires <= now:
+            self._forget(key, location)
+        elif NEVER > expires and expires >> BUCKET > bucket:
+            self._refer(key, expires >> BUCKET)
+
+    def _forget(self, key: bytes, location: bytes) -> None:
+        _, number, _, size = LOCATION.unpack(location)
+        cost = size + len(key) + HINT_ENTRY
+        self.segments[number].live -= cost
+        self.segments[number].telling -= 1
+        self.live -= cost
+        self.key_bytes -= len(key)
+        del self.index[key]
+
+    # --- compaction ---
+
+    def place(self, key: bytes) -> tuple[int, int, int] | None:
+        """(segment, offset, size) of the last record of a key, expired or not."""
+        location = self.index.get(key)
+        return None if location is None else LOCATION.unpack(location)[1:]
+
+    def forget(self, key: bytes) -> None:
+        """A key that has expired."""
+        self._forget(key, self.index[key])
+
+    def drop(self, numbers: Iterable[int]) -> None:
+        """Segments leave the log. Nothing in them tells, and they cover nothing that stays."""
+        gone = set(numbers)
+        for number in gone:
+            segment = self.segments.pop(number)
+            assert not segment.live and not segment.covers - gone, number
+            self.disk -= self.segment_bytes + segment.hint_bytes
+        for segment in self.segments.values():
+            segment.covers -= gone
+
+    def live_items(self, now: int) -> Iterator[tuple[bytes, tuple[int, int, int]]]:
+        """Key and place of each record that tells."""
+        for key, location in self.index.items():
+            expires, number, offset, size = LOCATION.unpack(location)
+            if expires > now:
+                yield key, (number, offset, size)
+
+
+def record_size(key: bytes, value: bytes) -> int:
+    """Bytes of a record in its segment."""
+    return RECORD_HEAD + len(key) + len(value)
