Connections are admitted by rules and an acceptor of their own, deadlines by a wheel

The front found what to close by scanning all connections, four times a second and for each newcomer at the limit; asyncio's server took up to a hundred newcomers before the table was asked and stopped for a second without descriptors.

--- /dev/null
+++ b/chutepin/admission/__init__.py
@@ -0,0 +1,15 @@
+"""Who may connect: rules for addresses and blocks of them, a reserve for known clients, and what becomes of newcomers
+when the table or the process's descriptors are full.
+
+`rules.Table` decides and `ledger.Ledger` shares out descriptors, both without I/O; `acceptor.Acceptor` accepts. It
+knows nothing of what is spoken on a connection. `docs/admission.md` has the design, `docs/operators/admission.md` the
+settings."""
+
+from .acceptor import Acceptor
+from .deadlines import Deadlines
+from .ledger import Ledger
+from .proxy import ProxyError, ProxyHead
+from .rules import Rank, Reason, Rules, Table, Use, Verdict
+
+__all__ = ["Acceptor", "Deadlines", "Ledger", "ProxyError", "ProxyHead", "Rank", "Reason", "Rules", "Table", "Use",
+           "Verdict"]
--- /dev/null
+++ b/chutepin/admission/acceptor.py
@@ -0,0 +1,182 @@
+"""Accepting connections under rules, also when there is no descriptor for them.
+
+In place of `asyncio.start_server`, which takes up to a hundred before anybody is asked and stops for a second when
+descriptors run out. Here a few are accepted in a turn of the loop, each is judged before anything is built for it,
+and one descriptor is kept spare: given up for a moment, it lets a newcomer be told and closed, not left in the
+backlog."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import os
+import socket
+from typing import Protocol
+
+from ..ops import Counters, Log
+from .addresses import pack
+
+ACCEPTS = 32  # in one turn of the loop
+BACKLOG = 512
+AGAIN_AFTER = 0.05  # seconds after which accepting is tried again where nothing tells that it would work
+_NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
+_NO_MEMORY = (errno.ENOBUFS, errno.ENOMEM)
+# The peer has gone, or its network has: accept(2) passes on errors of the new socket. The next one may be well.
+_PEER_GONE = (errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
+              errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.EPERM, errno.EINTR)
+
+
+class Gate(Protocol):
+    """Who judges newcomers and serves them."""
+
+    def admits(self, address: bytes, short: bool) -> bool:
+        """A newcomer from this address is served. With `short` the process has no descriptor left but the spare
+        one: then only a known one is, for which room is made."""
+
+    def serve(self, sock: socket.socket, address: bytes) -> None:
+        """Take an admitted connection over."""
+
+
+class Acceptor:
+    """One listening address."""
+
+    def __init__(self, gate: Gate, farewell: bytes, counters: Counters, log: Log) -> None:
+        self._gate, self._farewell, self._counters, self._log = gate, farewell, counters, log
+        self._sockets: list[socket.socket] = []
+        self._spare = -1
+        self._paused: asyncio.TimerHandle | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Listen on all addresses of a host. Raises OSError."""
+        loop = asyncio.get_running_loop()
+        found = await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
+        try:
+            for family, kind, protocol, _, address in dict.fromkeys(found):
+                sock = socket.socket(family, kind, protocol)
+                self._sockets.append(sock)
+                sock.setblocking(False)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                if family == socket.AF_INET6:
+                    sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+                sock.bind(address)
+                sock.listen(BACKLOG)
+        except OSError:
+            self.close()
+            raise
+        self._keep_spare()
+        self._watch()
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return int(self._sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        """Listen no more."""
+        if self._paused is not None:
+            self._paused.cancel()
+            self._paused = None
+        for sock in self._sockets:
+            with contextlib.suppress(RuntimeError, ValueError):
+                asyncio.get_running_loop().remove_reader(sock)
+            sock.close()
+        self._sockets.clear()
+        if self._spare >= 0:
+            os.close(self._spare)
+            self._spare = -1
+
+    def room(self) -> None:
+        """A descriptor has come free: go on at once if accepting had to rest."""
+        if self._spare < 0 and self._sockets:
+            self._keep_spare()
+        if self._paused is not None:
+            self._paused.cancel()
+            self._again()
+
+    # --- turns ---
+
+    def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        for sock in self._sockets:
+            loop.add_reader(sock, self._readable, sock)
+
+    def _rest(self) -> None:
+        """Guards the loop against spinning on a backlog that can't be taken."""
+        if self._paused is not None:
+            return
+        self._counters.add("admission.rests")
+        loop = asyncio.get_running_loop()
+        for sock in self._sockets:
+            loop.remove_reader(sock)
+        self._paused = loop.call_at(loop.time() + AGAIN_AFTER, self._again)
+
+    def _again(self) -> None:
+        self._paused = None
+        if self._spare < 0:
+            self._keep_spare()
+        self._watch()
+
+    def _keep_spare(self) -> None:
+        with contextlib.suppress(OSError):
+            self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+
+    def _readable(self, listener: socket.socket) -> None:
+        for _ in range(ACCEPTS):
+            try:
+                sock, address = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if not self._failed(listener, error):
+                    return
+                continue
+            self._newcomer(sock, pack(str(address[0])), short=False)
+            if self._paused is not None:
+                return
+
+    def _failed(self, listener: socket.socket, error: OSError) -> bool:
+        """An accept failed; whether to go on with the next one."""
+        if error.errno in _PEER_GONE:
+            self._counters.add("admission.aborted")
+            return True
+        if error.errno in _NO_DESCRIPTOR:
+            return self._without_descriptor(listener)
+        if error.errno in _NO_MEMORY:
+            self._counters.add("admission.no_memory")
+        else:
+            self._log.event("admission.accept_failed", why=error.strerror or str(error))
+        self._rest()
+        return False
+
+    def _without_descriptor(self, listener: socket.socket) -> bool:
+        """Use the spare descriptor to take one newcomer and tell it; whether to go on."""
+        self._counters.add("admission.no_descriptor")
+        if self._spare < 0:
+            self._rest()
+            return False
+        os.close(self._spare)
+        self._spare = -1
+        try:
+            sock, address = listener.accept()
+        except OSError:  # somebody else took the descriptor, or the newcomer has gone
+            self._keep_spare()
+            return self._spare >= 0
+        self._newcomer(sock, pack(str(address[0])), short=True)
+        self._keep_spare()
+        return self._spare >= 0
+
+    def _newcomer(self, sock: socket.socket, address: bytes, short: bool) -> None:
+        sock.setblocking(False)
+        if self._gate.admits(address, short):
+            self._gate.serve(sock, address)
+        else:
+            self.turn_away(sock)
+
+    def turn_away(self, sock: socket.socket) -> None:
+        """Say the farewell and close at once. What came is read first: closing over it would reset the farewell."""
+        with contextlib.suppress(OSError):
+            sock.send(self._farewell)
+            sock.shutdown(socket.SHUT_WR)
+            sock.recv(4096)
+        sock.close()
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import contextlib
+import itertools
 import math
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from ..admission import Acceptor, Deadlines, Ledger, ProxyError, ProxyHead, Reason, Rules, Table, Use
 from ..broker import Answer, Broker, Request, Verdict
 from ..config import Address
 from ..ops import Clock, Counters, Log
@@ -23,7 +26,7 @@
 SWEEP = 0.25  # seconds between looks at idle connections
 FIRST_BY = 2.0  # seconds in which a connection must have sent its first whole message
 WHOLE_BY = 5.0  # seconds in which any later message that has begun must be whole
-SETTLED = 0.5  # seconds of silence after which a connection may be closed to make room
+PART = "front"  # in the ledger of descriptors
 LINGER = 1.0  # seconds in which what a malformed connection still sends is read and thrown away
 READ = 4096  # bytes that one connection may have taken in before others have their turn
 CHECKS_IDLE = 60.0  # seconds that a connection for health checks may be silent
@@ -160,10 +163,24 @@
     whole_by: float = math.inf  # when the message that is awaited, or has begun, must be whole
     sound: bool = False  # it has sent a request that could be taken, or a health check
     shift: float = 0.0  # seconds by which the times in its requests are moved
+    key: int = 0  # in the front's tables; 0 has no socket
+    proxy: ProxyHead | None = None  # what a relay sends first
 
     def received(self, data: bytes) -> None:
         """Take in bytes; what is malformed ends the reading, and what was read before is failed at once."""
         self.front.passed(self, False, data)
+        if self.proxy is not None:
+            try:
+                self.proxy.feed(data)
+            except ProxyError as error:
+                self._misunderstood(str(error))
+                return
+            if not self.proxy.done:
+                return
+            data, address, self.proxy = self.proxy.rest, self.proxy.address, None
+            if address is not None and not self.front.relayed(self, address):
+                self.give_up()
+                return
         self.parser.feed(data)
         whole = False
         try:
@@ -171,12 +188,17 @@
                 whole = True
                 self.front.message(self, items)
         except ProtocolError as error:
-            self.front.counters.add("balancers.malformed")
-            self.front.log.event("balancers.malformed", why=str(error))
-            self.give_up()
+            self._misunderstood(str(error))
         if whole or self.whole_by == math.inf:
             # Guards the table of connections against messages that begin and never end, however they trickle.
             self.whole_by = self.front.clock.now() + WHOLE_BY if self.parser.partial else math.inf
+        self.front.arm(self)
+
+    def _misunderstood(self, why: str) -> None:
+        self.front.counters.add("balancers.malformed")
+        self.front.log.event("balancers.malformed", why=why)
+        self.front.table.malformed(self.key, self.front.clock.now())
+        self.give_up()
 
     def give_up(self) -> None:
         """Its peer cannot be understood any more: fail what is open, say goodbye and read no more."""
@@ -190,12 +212,16 @@
         """Write the one answer to a tag, unless the caller has gone."""
         if self.open.pop(tag, None) is not None:
             self.write(format_answer(tag, answer))
+            if not self.open:
+                self.front.table.answered(self.key)
+                self.front.arm(self)
 
     def bye(self, now: float) -> None:
         """Ask the balancer to send nothing more here and to close."""
         if self.bye_at is None:
             self.bye_at = now
             self.write(BYE)
+            self.front.arm(self)
 
 
 class Tap(Protocol):
@@ -221,12 +247,20 @@
 class Front:
     """All balancers' connections and what their messages mean."""
 
-    def __init__(self, broker: Broker, clock: Clock, counters: Counters, log: Log, sockets: int) -> None:
+    def __init__(self, broker: Broker, clock: Clock, counters: Counters, log: Log, sockets: int,
+                 rules: Rules | None = None, ledger: Ledger | None = None) -> None:
         self.broker, self.clock, self.counters, self.log = broker, clock, counters, log
-        self.max_connections = max(8, sockets // 2)  # asyncio may have accepted 100 more
+        self.max_connections = max(8, sockets // 2)
+        self.table = Table(rules or Rules(), self.max_connections)
+        self.ledger = ledger or Ledger(2 * sockets, {PART: (0, sockets)})
         self.connections: dict[int, Connection] = {}
-        self._server: asyncio.Server | None = None
+        self._acceptor: Acceptor | None = None
         self._transports: dict[int, asyncio.WriteTransport] = {}
+        self._keys = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._deadlines = Deadlines()
+        self._idle_after = math.inf  # the shortest that any deadline was set by
+        self._unsent: dict[int, int] = {}  # of connections that leave much unread, by key; as it was last seen
         self.tap: Tap | None = None
         self._ending: list[Connection] = []  # from a file that has no more for them
 
@@ -244,14 +278,17 @@
             request.arrived += connection.shift
             request.due += connection.shift
             connection.open[tag] = request.id
+            self.table.spoke(connection.key, connection.last_used, Use.REQUESTS, True)
             self.broker.pick(request, Reply(connection, tag))
         elif verb == b"RPC.CANCEL":
             self.counters.add("cancels")
             if (id := connection.open.pop(tag, None)) is not None:
                 self.broker.gone(id)
+            self.table.spoke(connection.key, connection.last_used, None, bool(connection.open))
         elif verb == b"RPC.HEALTH":
             self.counters.add("checks")
             connection.checks = connection.sound = True
+            self.table.spoke(connection.key, connection.last_used, Use.CHECKS, bool(connection.open))
             value = self.broker.value
             fields = b"" if value is None else f"v={value:.6g}".encode()
             connection.write(array(tag, b"UP" if self.broker.good else b"DOWN", fields))
@@ -288,18 +325,82 @@
 
     async def listen(self, address: Address) -> None:
         """Accept balancers on this address."""
-        self._server = await asyncio.start_server(self._accepted, address.host, address.port, limit=65536)
+        self._acceptor = Acceptor(self, BYE, self.counters, self.log)
+        await self._acceptor.listen(address.host, address.port)
 
-    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self.connections) >= self.max_connections and not self._make_room():
+    def admits(self, address: bytes, short: bool) -> bool:
+        """The table and the ledger have room for a newcomer, or some is made."""
+        now = self.clock.now()
+        self.table.limit = max(1, min(self.max_connections, self.ledger.parts[PART].held + self.ledger.free(PART)))
+        verdict = self.table.admit(now, address)
+        evict = verdict.evict
+        if verdict.refused is None and short and evict is None:
+            # The process has no descriptor left, whatever the table says: who is known may have that of another.
+            evict = self.table.least_below(now, address)
+            if evict is None:
+                self.table.refused[Reason.DESCRIPTORS] += 1
+                self.counters.add("balancers.too_many")
+                return False
+        if verdict.refused is not None:
             self.counters.add("balancers.too_many")
-            writer.transport.abort()
+            return False
+        if evict is not None:
+            self._evict(evict, now)
+        return True
+
+    def _evict(self, key: int, now: float) -> None:
+        """Close a connection to make room for another."""
+        self.counters.add("balancers.made_room")
+        self.table.closed(key)
+        connection = self.connections.pop(key)
+        connection.bye(now)
+        if (transport := self._transports.pop(key, None)) is not None:
+            transport.close()
+
+    def serve(self, sock: socket.socket, address: bytes) -> None:
+        """Take over a connection that was admitted."""
+        now, key = self.clock.now(), next(self._keys)
+        relay = address in self.table.rules.relays
+        connection = Connection(self, lambda data: None, last_used=now, whole_by=now + FIRST_BY, key=key,
+                                proxy=ProxyHead() if relay else None)
+        self.table.opened(key, now, address)
+        self.ledger.parts[PART].held += 1
+        self.connections[key] = connection
+        self.arm(connection)
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(limit=65536, loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        task = loop.create_task(self._live(connection, sock, reader, protocol))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _live(self, connection: Connection, sock: socket.socket, reader: asyncio.StreamReader,
+                    protocol: asyncio.StreamReaderProtocol) -> None:
+        """A connection's life, from its socket to its end."""
+        try:
+            transport, _ = await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, sock)
+            writer = asyncio.StreamWriter(transport, protocol, reader, asyncio.get_running_loop())
+            await self._accepted(connection, reader, writer)
+        except OSError:
+            self.counters.add("balancers.reset")
+        finally:
+            sock.close()
+            self.table.closed(connection.key)
+            self.connections.pop(connection.key, None)
+            self._deadlines.cancel(connection.key)
+            self.ledger.give(PART)
+            if self._acceptor is not None:
+                self._acceptor.room()
+
+    async def _accepted(self, connection: Connection, reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter) -> None:
+        transport, key = writer.transport, connection.key
+        if key not in self.connections:  # it made room before it was begun
+            writer.write(BYE)
+            writer.close()
             return
-        transport, now = writer.transport, self.clock.now()
-        connection = Connection(self, lambda data: self._write(connection, transport, data),
-                                last_used=now, whole_by=now + FIRST_BY)
-        self.connections[id(connection)] = connection
-        self._transports[id(connection)] = transport
+        connection.write = lambda data: self._write(connection, transport, data)
+        self._transports[key] = transport
         if self.tap is not None:
             self.tap.opened(id(connection))
         self.counters.add("balancers.connections")
@@ -314,11 +415,9 @@
             # An end of what the balancer sends is no end of its waiting: what was read is still answered.
             while connection.open and not transport.is_closing():
                 await asyncio.sleep(0.05)
-        except OSError:
-            self.counters.add("balancers.reset")
         finally:
-            self.connections.pop(id(connection), None)
-            self._transports.pop(id(connection), None)
+            self._transports.pop(key, None)
+            self._unsent.pop(key, None)
             for request in connection.open.values():
                 self.broker.gone(request)
             connection.open.clear()
@@ -326,6 +425,23 @@
                 self.tap.closed(id(connection))
             writer.close()
 
+    def relayed(self, connection: Connection, address: bytes) -> bool:
+        """A relay told the true address: judge that one as a newcomer, in place of the relay's."""
+        now, key = self.clock.now(), connection.key
+        self.table.closed(key)
+        verdict = self.table.admit(now, address)
+        if verdict.refused is not None:
+            self.counters.add("balancers.too_many")
+            return False
+        if verdict.evict is not None:
+            self._evict(verdict.evict, now)
+        self.table.opened(key, now, address)
+        return True
+
+    def apply(self, rules: Rules) -> None:
+        """Go by other rules from now on; open connections stay."""
+        self.table.apply(rules)
+
     async def _linger(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Read on for a while and throw it away: a close with unread input resets the last words away."""
         if writer.can_write_eof() and not writer.transport.is_closing():
@@ -335,23 +451,6 @@
                 while await reader.read(65536):
                     await asyncio.sleep(0)
 
-    def _make_room(self) -> bool:
-        """Close the connection that is least of use, if there is one of no use now.
-
-        Guards balancers against a table full of peers that say nothing: first go those that never sent a
-        sound request, then health checks, then idle ones, and of each the one silent for longest. Never one
-        that spoke or came just now: its request may be there and not read yet, and would be lost."""
-        before = self.clock.now() - SETTLED
-        idle = [c for c in self.connections.values() if not c.open and c.last_used < before]
-        if not idle:
-            return False
-        least = min(idle, key=lambda c: (c.sound, not c.checks, c.last_used))
-        self.counters.add("balancers.made_room")
-        least.bye(self.clock.now())
-        self._transports.pop(id(least)).close()
-        del self.connections[id(least)]
-        return True
-
     def _write(self, connection: Connection, transport: asyncio.WriteTransport, data: bytes) -> None:
         """Guards memory against balancers that do not read: past the bounds their connection is dropped."""
         if transport.is_closing():
@@ -360,33 +459,76 @@
         self.passed(connection, True, data)
         unsent = transport.get_write_buffer_size()
         if unsent <= 16384:
+            self._unsent.pop(connection.key, None)
             return
-        if unsent > MAX_UNSENT or sum(t.get_write_buffer_size() for t in self._transports.values()) \
-                > MAX_UNSENT_ALL:
+        self._unsent[connection.key] = unsent
+        if unsent > MAX_UNSENT or self._unsent_in_all() > MAX_UNSENT_ALL:
             self.counters.add("balancers.stuck")
             transport.abort()
 
+    def _unsent_in_all(self) -> int:
+        """What all leave unread. Only those that were seen to leave much are looked at; who has read since goes."""
+        if len(self._unsent) * MAX_UNSENT <= MAX_UNSENT_ALL:
+            return 0
+        for key in list(self._unsent):
+            transport = self._transports.get(key)
+            unsent = transport.get_write_buffer_size() if transport is not None else 0
+            if unsent > 16384:
+                self._unsent[key] = unsent
+            else:
+                del self._unsent[key]
+        return sum(self._unsent.values())
+
+    # --- deadlines ---
+
+    def arm(self, connection: Connection) -> None:
+        """Look at a connection again when it may have become slow or idle."""
+        if not connection.key or connection.key not in self.connections:
+            return
+        at = connection.whole_by
+        if not connection.open:
+            at = min(at, connection.bye_at + BYE_GRACE if connection.bye_at is not None
+                     else connection.last_used + self._idle_limit(connection))
+        self._deadlines.set(connection.key, at)
+
+    def _idle_limit(self, connection: Connection) -> float:
+        self._idle_after = min(self._idle_after, self.broker.idle_after)
+        return CHECKS_IDLE if connection.checks else max(self.broker.idle_after, SWEEP)
+
     def close_idle(self) -> None:
-        """Say goodbye on connections that were idle as long as the module allows; close those that stay."""
+        """Say goodbye on connections that were idle as long as the module allows; close those that stay, and those
+        whose message takes too long. What has no deadline now costs nothing."""
         now = self.clock.now()
-        for key, connection in list(self.connections.items()):
-            if now > connection.whole_by:
-                self.counters.add("balancers.slow")
-                connection.give_up()
-                self._transports[key].close()
-            elif connection.open:
-                continue
-            elif connection.bye_at is not None:
-                if now - connection.bye_at > BYE_GRACE:
-                    self._transports[key].close()
-            elif now - connection.last_used > (
-                    CHECKS_IDLE if connection.checks else max(self.broker.idle_after, SWEEP)):
-                self.counters.add("balancers.idle")
-                connection.bye(now)
+        if self.broker.idle_after < self._idle_after:  # deadlines were set by a longer time
+            for connection in self.connections.values():
+                self.arm(connection)
+        self._idle_after = self.broker.idle_after
+        for key in self._deadlines.due(now):
+            self._look(self.connections[key], now)
+        self.table.forget(now)
+
+    def _look(self, connection: Connection, now: float) -> None:
+        transport = self._transports.get(connection.key)
+        if now > connection.whole_by:
+            self.counters.add("balancers.slow")
+            connection.give_up()
+            if transport is not None:
+                transport.close()
+            return
+        if not connection.open and connection.bye_at is not None:
+            if transport is not None and now - connection.bye_at > BYE_GRACE:
+                transport.close()
+                return
+        elif not connection.open and now - connection.last_used > self._idle_limit(connection):
+            self.counters.add("balancers.idle")
+            connection.bye(now)
+            return
+        self.arm(connection)
 
     def leave(self) -> None:
         """Take no new connections and ask that nothing more be sent on the open ones."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
+            self._acceptor = None
         for connection in self.connections.values():
             connection.bye(self.clock.now())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from chutepin.admission import Use
 from chutepin.broker import Answer, Verdict
 from chutepin.config import Address
 from chutepin.facade import End
@@ -433,25 +434,24 @@
 
 def test_room_is_made_by_what_is_of_least_use_and_never_by_what_came_just_now() -> None:
     core = Core()
-    clock, written = core.hand.clock, bytearray()
-    front = Front(core.broker, clock, core.counters, Log(clock), 1024)
-
-    class Transport:
-        close = staticmethod(lambda: None)
-
-    def connection(age: float, sound: bool = False, checks: bool = False) -> Connection:
-        made = Connection(front, written.extend, last_used=core.hand.time - age, sound=sound, checks=checks)
-        front.connections[id(made)], front._transports[id(made)] = made, cast(Any, Transport())
-        return made
-
-    busy = connection(9.0, sound=True)
-    busy.open[b"1"] = "a"
-    new, last = connection(0.1), connection(1.0, sound=True)
-    order = [connection(1.0), connection(3.0, sound=True, checks=True),
-             connection(2.0, sound=True, checks=True), connection(2.0, sound=True), last]
-    for least in order:
-        assert front._make_room() and id(least) not in front.connections
-    assert not front._make_room() and set(front.connections) == {id(busy), id(new)}
+    clock = core.hand.clock
+    front = Front(core.broker, clock, core.counters, Log(clock), 16)
+    front.table.limit = front.max_connections = 7
+    ages = {"new": 0.1, "last": 1.0, "first": 1.0, "checked": 3.0, "checked later": 2.0, "idle": 2.0, "busy": 9.0}
+    uses = {"last": Use.REQUESTS, "checked": Use.CHECKS, "checked later": Use.CHECKS, "idle": Use.REQUESTS,
+            "busy": Use.REQUESTS}
+    keys = {name: key for key, name in enumerate(ages, 1)}
+    now = core.hand.time
+    for name, age in sorted(ages.items(), key=lambda item: -item[1]):
+        front.table.opened(keys[name], now - age, b"\x7f\0\0\1")
+        front.connections[keys[name]] = Connection(front, lambda _: None, key=keys[name])
+        if name in uses:
+            front.table.spoke(keys[name], now - age, uses[name], name == "busy")
+    for least in ("first", "checked", "checked later", "idle", "last"):
+        assert front.admits(b"\x7f\0\0\1", short=False) and keys[least] not in front.connections, least
+        front.table.opened(len(ages) + keys[least], now, b"\x7f\0\0\1")
+    assert not front.admits(b"\x7f\0\0\1", short=False)
+    assert set(front.connections) == {keys["busy"], keys["new"]}
 
 
 def test_an_answer_tells_when_to_come_back() -> None:
