--- a/chutepin/cli/__init__.py
+++ b/chutepin/cli/__init__.py
@@ -9,7 +9,7 @@
 
 from ..ops import say
 
-COMMANDS = {"node": "node", "demo": "demo", "store": "store"}  # a command to its module here
+COMMANDS = {"node": "node", "demo": "demo", "store": "store", "admission": "admission"}  # a command to its module here
 
 
 class LazyGroup(click.Group):
--- a/chutepin/config/operator.py
+++ b/chutepin/config/operator.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -16,6 +17,9 @@
 
 TIME = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}  # in seconds
 SIZE = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # in bytes
+RATE = {"per-s": 1.0, "per-min": 1 / 60}  # events a second
+SHARE = {"%": 0.01}
+MAX_NETWORKS = 1024  # in one list
 MAX_FILE = 256 * 1024  # bytes of an operator's file
 
 Check = Callable[[Any, str], Any]  # (a value of the document, its field) to the value it means
@@ -39,12 +43,35 @@
     sync_every: float = 0.005  # seconds after which a put is made durable unasked
 
 
+@dataclass(frozen=True, slots=True)
+class AdmissionSetup:
+    """The block `admission`: who may connect. What is 0 is off; the defaults turn nobody away but for room."""
+
+    per_address: int = 0  # connections
+    per_block: int = 0
+    block_v4: int = 24  # bits
+    block_v6: int = 64
+    rate_address: float = 0.0  # new connections a second
+    burst_address: int = 10
+    rate_block: float = 0.0
+    burst_block: int = 50
+    new_share: float = 1.0  # part of the table
+    reserve: float = 0.0
+    known: tuple[str, ...] = ()  # networks
+    relays: tuple[str, ...] = ()
+    earn_requests: int = 0
+    earn_over: float = 10.0  # seconds
+    earned_age: float = 3600.0
+    remembered: int = 4096  # addresses
+
+
 @dataclass(frozen=True, slots=True)
 class Setup:
     """The whole file; a block that is not there leaves its subsystem as it is by default."""
 
     log: LogSetup = field(default_factory=LogSetup)
     store: StoreSetup | None = None
+    admission: AdmissionSetup = field(default_factory=AdmissionSetup)
 
 
 def quantity(units: Mapping[str, float], least: float, most: float) -> Check:
@@ -70,6 +97,35 @@
     return lambda raw, name: int(checked(raw, name))
 
 
+def count(unit: str, least: int, most: int) -> Check:
+    """A whole number of things that the unit names."""
+    checked = quantity({unit: 1}, least, most)
+
+    def check(raw: Any, name: str) -> int:
+        value = checked(raw, name)
+        if value != int(value):
+            raise ConfigError(f"{name}: ({unit}){value} is no whole number")
+        return int(value)
+    return check
+
+
+def network(raw: Any, name: str) -> str:
+    """An address, or a network as address/bits."""
+    try:
+        return str(ipaddress.ip_network(text(raw, name)))
+    except ValueError as error:
+        if isinstance(error, ConfigError):
+            raise
+        raise ConfigError(f"{name}: {error}") from None
+
+
+@dataclass(frozen=True, slots=True)
+class Many:
+    """A setting that takes one value or several."""
+
+    check: Check
+
+
 def text(raw: Any, name: str) -> str:
     """A text that is not empty."""
     if not isinstance(raw, str) or not raw:
@@ -86,14 +142,23 @@
     return check
 
 
-BLOCKS: dict[str, dict[str, Check]] = {
+BLOCKS: dict[str, dict[str, Check | Many]] = {
     "log": {"format": choice(*(format.value for format in LogFormat))},
     "store": {"directory": text, "segment": size(2**16, 2**30), "max": size(2**19, 2**46),
               "memory": size(2**20, 2**40), "sync-every": quantity(TIME, 0.001, 60.0)},
+    "admission": {
+        "per-address": count("connections", 0, 2**20), "per-block": count("connections", 0, 2**20),
+        "block-v4": count("bits", 8, 32), "block-v6": count("bits", 16, 128),
+        "rate-address": quantity(RATE, 0.0, 1e6), "burst-address": count("connections", 1, 2**20),
+        "rate-block": quantity(RATE, 0.0, 1e6), "burst-block": count("connections", 1, 2**20),
+        "new-share": quantity(SHARE, 0.01, 1.0), "reserve": quantity(SHARE, 0.0, 0.95),
+        "known": Many(network), "relays": Many(network),
+        "earn-requests": count("requests", 0, 2**20), "earn-over": quantity(TIME, 0.0, 86400.0),
+        "earned-age": quantity(TIME, 1.0, 30 * 86400.0), "remembered": count("addresses", 16, 2**20)},
 }
 
 
-def _block(node: Any, known: Mapping[str, Check]) -> dict[str, Any]:
+def _block(node: Any, known: Mapping[str, Check | Many]) -> dict[str, Any]:
     if node.args or node.properties:
         raise ConfigError(f"{node.name}: takes a block in braces, no values of its own")
     found: dict[str, Any] = {}
@@ -103,12 +168,19 @@
             raise ConfigError(f"{name}: unknown; known are {', '.join(known)}")
         if child.name in found:
             raise ConfigError(f"{name}: given twice")
-        if len(child.args) != 1 or child.properties or child.children:
-            raise ConfigError(f"{name}: takes one value")
-        found[child.name] = known[child.name](child.args[0], name)
+        found[child.name] = _value(child, known[child.name], name)
     return found
 
 
+def _value(node: Any, check: Check | Many, name: str) -> Any:
+    many = isinstance(check, Many)
+    if not 1 <= len(node.args) <= (MAX_NETWORKS if many else 1) or node.properties or node.children:
+        raise ConfigError(f"{name}: takes one value{f' to {MAX_NETWORKS}' if many else ''}")
+    if isinstance(check, Many):
+        return tuple(check.check(raw, name) for raw in node.args)
+    return check(node.args[0], name)
+
+
 def parse_setup(source: str) -> Setup:
     """Check an operator's file. Raises `ConfigError` with one line that names the field."""
     import ckdl  # only where a file is given
@@ -125,7 +197,10 @@
             raise ConfigError(f"{node.name}: given twice")
         blocks[node.name] = _block(node, BLOCKS[node.name])
     log = LogSetup(LogFormat(blocks.get("log", {}).get("format", LogFormat.PLAIN.value)))
-    return Setup(log, _store(blocks["store"]) if "store" in blocks else None)
+    admission = AdmissionSetup(**{name.replace("-", "_"): value for name, value in blocks.get("admission", {}).items()})
+    if admission.new_share + admission.reserve > 1 and admission.new_share < 1:
+        raise ConfigError("admission.new-share: with admission.reserve more than 100 %")
+    return Setup(log, _store(blocks["store"]) if "store" in blocks else None, admission)
 
 
 def _store(values: dict[str, Any]) -> StoreSetup:
--- /dev/null
+++ b/chutepin/lab/flood.py
@@ -0,0 +1,116 @@
+"""A stand-in flood: peers on loopback addresses that take connections and give nothing, for a bounded time.
+
+    python -m chutepin.lab.flood KIND PORT SECONDS
+
+`one` keeps 600 connections from one address, `block` three each from 200 addresses of one block, `spread` the same
+from 200 blocks, `sound` sends one sound request on each of these, and `storm` connects and closes 2,000 times a second.
+It prints what became of its connections as JSON. Addresses are of 127.0.0.0/8 alone."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import time
+from collections import Counter
+from collections.abc import Iterator
+
+import click
+
+from ..net.resp import array
+
+HELD = 600  # connections at a time
+STORM = 2000  # a second
+REFUSED = 1.5  # seconds: who is closed later was served for a while
+
+
+def sources(kind: str) -> Iterator[str]:
+    """Addresses by turns, for ever."""
+    while True:
+        for number in range(200):
+            yield {"one": "127.0.9.9", "storm": "127.0.9.9", "block": f"127.0.1.{number + 1}"}.get(
+                kind, f"127.1.{number}.1")
+
+
+class Flood:
+    """One run against a port of this machine."""
+
+    def __init__(self, kind: str, port: int, seconds: float, held: int = HELD) -> None:
+        self._kind, self._port, self._held = kind, port, held
+        self._end = time.monotonic() + seconds
+        self._sources = sources(kind)
+        self.counts: Counter[str] = Counter()
+        self.refusals: list[float] = []  # seconds from the connection to its close
+
+    async def run(self) -> dict[str, object]:
+        """Flood until the end."""
+        if self._kind == "storm":
+            await self._storm()
+        else:
+            await asyncio.gather(*(self._hold() for _ in range(self._held)))
+        times = sorted(self.refusals)
+        return {**self.counts, "refused": len(times),
+                "refused_p99_ms": round(1000 * times[int(0.99 * len(times))], 1) if times else None,
+                "refused_max_ms": round(1000 * times[-1], 1) if times else None}
+
+    async def _hold(self) -> None:
+        """One peer: connect, wait until closed, again."""
+        while time.monotonic() < self._end:
+            source = next(self._sources)
+            try:
+                async with asyncio.timeout(3):
+                    reader, writer = await asyncio.open_connection("127.0.0.1", self._port, local_addr=(source, 0))
+            except (OSError, TimeoutError):
+                self.counts["unconnected"] += 1
+                await asyncio.sleep(0.05)
+                continue
+            self.counts["connected"] += 1
+            begun = time.monotonic()
+            if self._kind == "sound":
+                fields = f"i={os.urandom(8).hex()},s={int(time.time() * 1000)},f=1,t=bernard-lodge,d=1000,m=10"
+                writer.write(array(b"RPC.CALL", b"1", b"position-push", fields.encode(), b"x"))
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(max(0.01, self._end - begun)):
+                    while await reader.read(4096):
+                        pass
+                    if time.monotonic() - begun < REFUSED:
+                        self.refusals.append(time.monotonic() - begun)
+            writer.transport.abort()
+            await asyncio.sleep(0.02)
+
+    async def _storm(self) -> None:
+        """Connect and close, at a rate of its own."""
+        begun, number = time.monotonic(), 0
+        tasks: set[asyncio.Task[None]] = set()
+        while time.monotonic() < self._end:
+            while number < (time.monotonic() - begun) * STORM and len(tasks) < 2000:
+                number += 1
+                task = asyncio.ensure_future(self._touch())
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+            await asyncio.sleep(0.002)
+        await asyncio.gather(*tasks)
+
+    async def _touch(self) -> None:
+        try:
+            async with asyncio.timeout(2):
+                _, writer = await asyncio.open_connection("127.0.0.1", self._port, local_addr=(next(self._sources), 0))
+        except (OSError, TimeoutError):
+            self.counts["unconnected"] += 1
+            return
+        self.counts["connected"] += 1
+        writer.transport.abort()
+
+
+@click.command()
+@click.argument("kind", type=click.Choice(["one", "block", "spread", "sound", "storm"]))
+@click.argument("port", type=click.IntRange(1, 65535))
+@click.argument("seconds", type=click.FloatRange(0.1, 120))
+def main(kind: str, port: int, seconds: float) -> None:
+    """Flood a port of this machine."""
+    click.echo(json.dumps(asyncio.run(Flood(kind, port, seconds).run())))
+
+
+if __name__ == "__main__":
+    main()
--- a/chutepin/lab/standins.py
+++ b/chutepin/lab/standins.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import sys
 import tempfile
@@ -44,6 +45,8 @@
         self._waiting: dict[str, tuple[str, bytes]] = {}
         self.env = json.loads(json.dumps(env))
         self.stop_ms, self.sockets = 1500, 1024
+        self.descriptors = 0  # the program's soft limit, if it is to have one
+        self.program = ROOT  # whose program runs
         self.process: asyncio.subprocess.Process | None = None
         self.port = self.listen_port = 0
         self.errors = ""
@@ -55,11 +58,15 @@
         self.path = Path(stack.enter_context(tempfile.TemporaryDirectory())) / "config.json"
         await self.configure(stack)
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "chutepin", *arguments, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            sys.executable, "-m", "chutepin", *arguments, cwd=self.program, stderr=asyncio.subprocess.PIPE,
+            preexec_fn=self._limit if self.descriptors else None,
             env={**os.environ, **(environ or {}), "LB_CONFIG": str(self.path)})
         stack.push_async_callback(self.kill)
         await eventually(lambda: self.joins)
 
+    def _limit(self) -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+
     async def configure(self, stack: AsyncExitStack) -> None:
         """Write the configuration with stand-ins at new addresses; the old ones accept nothing new."""
         for server in self._servers:
@@ -156,7 +163,7 @@
                 self.calls.append((words[0], body))
                 if self.record_word == "cut":
                     writer.transport.abort()
-                elif words[0] == "OP":
+                elif words[0] == "OP" and self.record_word != "mute":
                     reply = b"row of " + body if self.record_word == "DONE" else None
                     writer.write(line(words[1], self.record_word, body=reply))
 
--- a/chutepin/net/records.py
+++ b/chutepin/net/records.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from ..admission import Ledger
 from ..config import Address
 from ..facade import End
 from ..ops import Clock, Counters, Log
@@ -59,15 +60,19 @@
     return len(words) > 2 or words[1:2] == ["DONE"]
 
 
+PART = "records"  # in the ledger of descriptors
+
+
 class RecordsService:
     """Opens connections as calls come, one for each call in hand while the descriptors allow: what spoils one
     reply then costs no other call. At a node of the last tier, which has no such address, calls end
     unreachable."""
 
     def __init__(self, address: Address | None, clock: Clock, counters: Counters, log: Log,
-                 most: int) -> None:
+                 most: int, ledger: Ledger | None = None) -> None:
         self._address, self._clock, self._counters, self._log = address, clock, counters, log
         self._most = most  # connections
+        self._ledger = ledger or Ledger(2 * most + 8, {PART: (0, most)})
         self.listener: Called | None = None
         self._connections: list[Connection] = []  # the last used one last
         self._timers: dict[str, asyncio.TimerHandle] = {}
@@ -129,6 +134,9 @@
             return idle[-1]
         if self._address is None or sum(not c.retired for c in self._connections) >= self._most:
             return min(fit, key=lambda connection: len(connection.calls), default=None)
+        if not self._ledger.take(PART):  # shared, or ended unreachable: it has not run then
+            self._counters.add("records.no_descriptor")
+            return min(fit, key=lambda connection: len(connection.calls), default=None)
         connection = Connection(last_used=now)
         self._connections.append(connection)
         task = asyncio.get_running_loop().create_task(self._serve(connection, self._address))
@@ -167,6 +175,7 @@
             self._log.event("records.malformed", why=str(error))
         finally:
             self._connections.remove(connection)
+            self._ledger.give(PART)
             if connection.writer is not None:
                 connection.writer.transport.abort()
         for call in connection.calls.values():
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -438,6 +438,10 @@
         self.table.opened(key, now, address)
         return True
 
+    def figures(self) -> dict[str, int]:
+        """What was refused and why, for an operator."""
+        return {f"admission.refused.{reason.value}": count for reason, count in self.table.refused.items()}
+
     def apply(self, rules: Rules) -> None:
         """Go by other rules from now on; open connections stay."""
         self.table.apply(rules)
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -4,14 +4,19 @@
 
 import asyncio
 import dataclasses
+import itertools
+import os
+import resource
 import signal
 from collections.abc import Awaitable
 from typing import TYPE_CHECKING
 
 from poststall import api
 
+from .admission import Ledger, Rules
+from .admission.addresses import Networks
 from .broker import Broker
-from .config import AmqpConfig, Config, ConfigError, StoreSetup, load
+from .config import AdmissionSetup, AmqpConfig, Config, ConfigError, Setup, StoreSetup, load, load_setup
 from .net.control import Reporter
 from .net.executor import ExecutorLink, Session
 from .net.records import RecordsService
@@ -51,6 +56,32 @@
         self.broker.tick()
 
 
+TOP = 10  # addresses and blocks that SIGUSR1 names
+RECONCILE = 8  # sweeps between looks at what descriptors the process holds
+
+
+def descriptors() -> int | None:
+    """How many the process holds; None where the system doesn't tell."""
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1  # the listing itself holds one
+    except OSError:
+        return None
+
+
+def shares(limit: int, amqp: bool, store: bool) -> Ledger:
+    """The descriptors shared out: half for the front at most, a fifth for records; what must reconnect has its own."""
+    return Ledger(limit, {
+        "front": (0, max(8, limit // 2)), "records": (max(2, limit // 32), max(4, limit // 5)),
+        "executor": (2, 2), "control": (1, 1), "amqp": (2 * amqp, 2), "store": (8 * store, 40), "files": (2, 8)},
+        descriptors() or 0)
+
+
+def rules_of(setup: AdmissionSetup) -> Rules:
+    """The rules that an operator's block means."""
+    values = {field.name: getattr(setup, field.name) for field in dataclasses.fields(setup)}
+    return Rules(**values | {"known": Networks(setup.known), "relays": Networks(setup.relays)})
+
+
 def _open_store(setup: StoreSetup, clock: Clock, log: Log) -> Store:
     """A store that can't be opened is a fault of the configuration: the node must not start without it."""
     from .store import Store, StoreError
@@ -66,21 +97,26 @@
 
     def __init__(self, config: Config, amqp: AmqpConfig | None = None, read: str | None = None,
                  record: str | None = None, log_format: LogFormat = LogFormat.PLAIN,
-                 setup: StoreSetup | None = None) -> None:
+                 setup: Setup | None = None, setup_path: str | None = None) -> None:
         self.config = config
+        self.setup, self._setup_path = setup or Setup(), setup_path
         self.clock = Clock()
         self.counters = Counters()
         self.log = Log(self.clock, log_format)
         alarm = LoopAlarm(self.clock)
         session = Session(self.clock, self.counters, self.log,
                           config.settings.halt is api.Halt.PAUSE)
+        # Descriptors that the process may really have, whatever the configuration allows.
+        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self.ledger = shares(sockets, amqp is not None, self.setup.store is not None)
         self.executor = ExecutorLink(config.executor, session, self.counters, self.log)
         self.records = RecordsService(config.records, self.clock, self.counters, self.log,
-                                      max(4, config.sockets // 5))
+                                      max(4, sockets // 5), self.ledger)
         self.broker = Broker(config.settings, config.seed, self.clock, self.counters, self.log,
                              self.executor, self.records, alarm, config.memory)
         alarm.broker = session.notices = self.records.listener = self.broker
-        self.front = Front(self.broker, self.clock, self.counters, self.log, config.sockets)
+        self.front = Front(self.broker, self.clock, self.counters, self.log, sockets,
+                           rules_of(self.setup.admission), self.ledger)
         self.consumer: Consumer | None = None
         if amqp is not None:
             # Loaded only where an operator turns the front on: the platform's nodes need no codec for it.
@@ -96,8 +132,8 @@
             if read is not None:
                 self.source = Source(read, config.listen.port, self.front, self.clock)
         self.store: Store | None = None
-        if setup is not None:  # loaded only where an operator switches it on
-            self.store = _open_store(setup, self.clock, self.log)
+        if self.setup.store is not None:  # loaded only where an operator switches it on
+            self.store = _open_store(self.setup.store, self.clock, self.log)
         self.reporter = Reporter(config.control, config.name, self._ready, self.counters)
         self._told = asyncio.Event()
 
@@ -105,7 +141,16 @@
         """On request and at exit; never dropped by the rate limit."""
         dropped = {"log.dropped": self.log.dropped} if self.log.dropped else {}
         store = {} if self.store is None else {f"store.{name}": count for name, count in self.store.figures().items()}
-        self.log.always("counters", **dict(sorted(self.counters.counts.items())), **store, **dropped)
+        self.log.always("counters", **dict(sorted(self.counters.counts.items())), **self.front.figures(), **store,
+                        **dropped)
+
+    def print_state(self) -> None:
+        """On SIGUSR1: the counters, who is connected most, and the descriptors."""
+        self.print_counters()
+        addresses, blocks = self.front.table.top(TOP)
+        self.log.always("admission.top", addresses=" ".join(f"{name}={count}" for name, count in addresses),
+                        blocks=" ".join(f"{name}={count}" for name, count in blocks))
+        self.log.always("descriptors", **self.ledger.figures())
 
     def reload(self) -> None:
         """Read the configuration again and meet executor, records and control plane where it says now.
@@ -129,12 +174,29 @@
         self.records.move(config.records)
         self.reporter.move(config.control)
         self.counters.add("reloads")
+        self._reload_setup()
+
+    def _reload_setup(self) -> None:
+        """The rules of admission follow the operator's file; the rest of it is for the next start."""
+        if self._setup_path is None:
+            return
+        try:
+            setup = load_setup(self._setup_path)
+        except ConfigError as error:
+            self.counters.add("reloads.bad")
+            self.log.event("reload.kept_old", why=str(error))
+            return
+        if dataclasses.replace(self.setup, admission=setup.admission) != setup:
+            self.log.event("reload.only_admission", file=self._setup_path)
+        if setup.admission != self.setup.admission:
+            self.front.apply(rules_of(setup.admission))
+        self.setup = dataclasses.replace(self.setup, admission=setup.admission)
 
     async def run(self) -> int:
         """Serve until told to leave, then leave."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._told.set)
-        loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        loop.add_signal_handler(signal.SIGUSR1, self.print_state)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.set_exception_handler(self._failed)
         try:
@@ -189,7 +251,9 @@
         self.log.event("error", message=str(context.get("message")), error=repr(context.get("exception")))
 
     async def _sweep(self) -> None:
-        while True:
+        for turn in itertools.count():
+            if turn % RECONCILE == 0 and (held := descriptors()) is not None:
+                self.counters.holds(self.ledger.reconcile(held) == 0, "ledger")
             await asyncio.sleep(SWEEP)
             self.front.close_idle()
             self.front.close_replayed()
--- a/chutepin/serve.py
+++ b/chutepin/serve.py
@@ -19,7 +19,7 @@
         config = load()
         operator = load_setup(setup) if setup else Setup()
         queues = load_amqp(amqp, config.settings) if amqp else None
-        node = Node(config, queues, read, record, log_format or operator.log.format, operator.store)
+        node = Node(config, queues, read, record, log_format or operator.log.format, operator, setup)
         return asyncio.run(node.run())
     except ConfigError as error:
         say(str(error))
