At a full table a newcomer is dropped three turns later, as balancers expect it

The newcomer is closed without a word three turns of the loop after its accept, its request unread, so the system resets the connection and the balancer sends the request again.

--- a/chutepin/admission/acceptor.py
+++ b/chutepin/admission/acceptor.py
@@ -12,7 +12,6 @@
 import errno
 import os
 import socket
-import struct
 from enum import Enum
 from typing import Protocol
 
@@ -36,7 +35,10 @@
 
     SERVE = 1
     TELL = 2  # it hears the farewell and is closed in order
-    RESET = 3  # its connection is reset: a peer that may have a request on its way takes that as never connected
+    # It is closed without a word a few turns later. Its first request has come by then and lies unread, so the system
+    # resets the connection, and an honest peer sends the request again elsewhere. Reset at once, the peer would take
+    # the node for dead; told and closed in order, it would count the request as lost.
+    DROP = 3
 
 
 class Gate(Protocol):
@@ -186,9 +188,8 @@
         elif welcome is Welcome.TELL:
             self.turn_away(sock)
         else:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            sock.close()
+            loop = asyncio.get_running_loop()
+            loop.call_soon(loop.call_soon, loop.call_soon, sock.close)
 
     def turn_away(self, sock: socket.socket) -> None:
         """Say the farewell and close at once. What came is read first: closing over it would reset the farewell."""
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -331,8 +331,8 @@
     def admits(self, address: bytes, short: bool) -> Welcome:
         """The table and the ledger have room for a newcomer, or some is made.
 
-        Who breaks a rule is told. Where the table is merely full the connection is reset: an honest balancer may have a
-        request on its way, and a close in order would be the close of a connection with an unanswered request."""
+        Who breaks a rule is told. Where the table is merely full the newcomer is dropped without a word: an honest
+        balancer may have a request on its way, which a close in order would lose."""
         now = self.clock.now()
         self.table.limit = max(1, min(self.max_connections, self.ledger.parts[PART].held + self.ledger.free(PART)))
         verdict = self.table.admit(now, address)
@@ -347,7 +347,7 @@
         if verdict.refused is not None:
             self.counters.add("balancers.too_many")
             full = verdict.refused is Reason.FULL or (verdict.refused is Reason.NEW and self.table.rules.new_share == 1)
-            return Welcome.RESET if full else Welcome.TELL
+            return Welcome.DROP if full else Welcome.TELL
         if evict is not None:
             self._evict(evict, now)
         return Welcome.SERVE
