--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -452,6 +452,20 @@
     accepting(test)
 
 
+def test_a_newcomer_at_a_full_table_is_dropped_without_a_word(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(acceptor: Acceptor, gate: Gate, counters: Counters) -> None:
+        monkeypatch.setattr(gate, "admits", lambda address, short: Welcome.DROP)
+        reader, writer = await asyncio.open_connection("127.0.0.1", acceptor.port)
+        try:
+            assert await heard(reader) == b""
+        except ConnectionResetError:
+            pass
+        writer.close()
+        assert not gate.served
+
+    accepting(test)
+
+
 @pytest.mark.parametrize(("number", "counter"), [
     (errno.ECONNABORTED, "admission.aborted"), (errno.ENOBUFS, "admission.no_memory"),
     (errno.ENOMEM, "admission.no_memory")])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -454,6 +454,19 @@
     assert set(front.connections) == {keys["busy"], keys["new"]}
 
 
+def test_a_connection_that_made_room_leaves_no_deadline_behind() -> None:
+    core = Core()
+    now = core.hand.time
+    front = Front(core.broker, core.hand.clock, core.counters, Log(core.hand.clock), 16)
+    front.max_connections = 1
+    front.table.opened(1, now - 1, b"\x7f\0\0\1")
+    front.connections[1] = Connection(front, lambda _: None, key=1, last_used=now - 1, whole_by=now + 1)
+    front.arm(front.connections[1])
+    assert front.admits(b"\x7f\0\0\1", short=False) is Welcome.SERVE and not front.connections
+    core.hand.time += 5
+    front.close_idle()  # it would look for a connection that is gone, and end the sweep of all others
+
+
 def test_an_answer_tells_when_to_come_back() -> None:
     refusal = Answer(Verdict.REFUSED, b"", 0.25, True, 3.5)
     assert format_answer(b"7", refusal) == array(b"7", b"BUSY", b"v=3.5,w=250,l=1", b"")
