--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -20,6 +20,7 @@
 
 from . import facade
 from .facade import CallEnded, CallWanted, Drain, End, Facade, Left, Offer, RunEnded
+from .figures import Figures
 from .ops import Clock, Counters, Log
 
 MAX_REQUESTS = 2048  # requests in hand; each holds a body of up to 2 KiB
@@ -41,6 +42,9 @@
     FAILED = "failed"
 
 
+_COLUMNS = {Verdict.SERVED: "answered", Verdict.REFUSED: "deferred", Verdict.FAILED: "errored"}  # of the figures
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """A final answer, with what the caller is told along with it."""
@@ -162,7 +166,9 @@
         self._grace = settings.drain_grace
         self._says = settings.signal is not api.Signal.NONE
         self._facade = Facade(settings, seed, self)
+        self.figures = Figures(self._classes)
         self._started = False
+        self.began: Callable[[], None] = lambda: None  # told once the executor is up
         self._attempts: dict[str, Attempt] = {}
         self._keys: dict[str, Entry] = {}
         self._reports: deque[facade.Report] = deque()
@@ -194,7 +200,7 @@
     @property
     def in_hand(self) -> int:
         """Requests that are owed an answer."""
-        return sum(attempt.owed for attempt in self._attempts.values())
+        return self.figures.current
 
     @property
     def classes(self) -> dict[str, api.RequestClass]:
@@ -204,6 +210,7 @@
     def pick(self, request: Request, caller: Caller) -> None:
         """A request came in; its caller gets exactly one answer, unless it goes first."""
         self._counters.add("requests")
+        self.figures.taken(request.cls)
         cls = self._classes.get(request.cls)
         now = self._clock.now()
         known = cls is not None and (not self._tenants or request.tenant in self._tenants)
@@ -213,13 +220,13 @@
         if cls is None or not known or not sane or request.id in self._attempts:
             # The module takes no class that it was not told of and no id twice; neither is a caller's right.
             self._counters.add("requests.malformed")
-            self._answer_now(caller, Answer(Verdict.FAILED, value=self._value))
+            self._answer_now(request.cls, caller, Answer(Verdict.FAILED, value=self._value))
             return
         entry = self._entry(request, cls)
         if entry is not None and entry.contents != _contents(request):
             # Another request under a key that is taken: it must not get a result that no run made for it.
             self._counters.add("requests.malformed")
-            self._answer_now(caller, Answer(Verdict.FAILED, value=self._value))
+            self._answer_now(request.cls, caller, Answer(Verdict.FAILED, value=self._value))
             return
         full = len(self._attempts) >= MAX_REQUESTS or (
             cls.repeat is Repeat.KEYED and entry is None
@@ -229,7 +236,7 @@
             # repeated; without a key nothing tells a repeat.
             self._counters.add("requests.full" if full else "requests.not_taken")
             verdict = Verdict.FAILED if self._key_ran(request) else Verdict.REFUSED
-            self._answer_now(caller, Answer(verdict, value=self._value))
+            self._answer_now(request.cls, caller, Answer(verdict, value=self._value))
             return
         # Guards what the module learns from the wait, and the windows of keys, against times that cannot be.
         request.arrived = max(now - cls.deadline, min(now, request.arrived))
@@ -253,6 +260,7 @@
             return
         self._counters.add("callers.gone")
         attempt.owed = False
+        self.figures.ended(attempt.request.cls, "withdrawn")
         self._end_unwatched(attempt)
         self._report(Left(id))
 
@@ -277,6 +285,7 @@
             return
         self._started = True
         self._settle(lambda: self._facade.start(self._clock.now(), born, cold))
+        self.began()
         if self._drain_stop is not None:
             self._report(Drain(self._drain_stop))
 
@@ -396,6 +405,7 @@
             return
         attempt.phase = Phase.RUNNING
         self._counters.add("runs")
+        self.figures.sends += 1
         self._executor.exec(id, request.cls, request.body, attempt.repeat is Repeat.SAFE)
 
     def stop(self, id: str) -> None:
@@ -475,7 +485,7 @@
         if not attempt.owed:
             return
         attempt.owed = False
-        self._answer_now(attempt.caller, answer)
+        self._answer_now(attempt.request.cls, attempt.caller, answer)
         self._end_unwatched(attempt)
         if attempt.phase in (Phase.HELD, Phase.SHARING):
             self._forget(attempt.request.id)
@@ -487,14 +497,15 @@
         if at_call and not attempt.owed and not attempt.request.watched:
             self._executor.kill(attempt.request.id)
 
-    def _answer_now(self, caller: Caller, answer: Answer) -> None:
+    def _answer_now(self, cls: str, caller: Caller, answer: Answer) -> None:
+        self.figures.ended(cls, _COLUMNS[answer.verdict])
         self._counters.add(f"answers.{answer.verdict.value}")
         caller.answer(answer)
 
     def _forget(self, id: str) -> None:
         attempt = self._attempts.pop(id, None)
         if attempt is not None and not self._counters.holds(not attempt.owed, "answered before forgotten"):
-            self._answer_now(attempt.caller, Answer(Verdict.FAILED, value=self._value))
+            self._answer_now(attempt.request.cls, attempt.caller, Answer(Verdict.FAILED, value=self._value))
 
     def _report(self, what: facade.Report) -> None:
         self._reports.append(what)
--- a/chutepin/config/platform.py
+++ b/chutepin/config/platform.py
@@ -39,6 +39,7 @@
     memory: int  # bytes
     sockets: int
     settings: api.Settings
+    ops: Address | None = None  # where operators call
 
 
 def address(raw: Any, field: str) -> Address:
@@ -82,6 +83,7 @@
     except (wire.WireError, ValueError, TypeError, OverflowError) as error:
         raise ConfigError(f"settings: {error}") from None
     below, control = raw.get("records"), raw.get("control")
+    ops = raw.get("ops", environment.get("LB_OPS"))
     return Config(
         name=text(raw.get("name", environment.get("LB_NAME")), "name"),
         listen=address(raw.get("listen", environment.get("LB_LISTEN")), "listen"),
@@ -92,7 +94,8 @@
         stop=positive(raw.get("stop_ms", 3000), "stop_ms") / 1000,
         memory=int(positive(limits.get("memory_mb", 192), "limits.memory_mb") * 2**20),
         sockets=int(positive(limits.get("sockets", 1024), "limits.sockets")),
-        settings=settings)
+        settings=settings,
+        ops=address(ops, "ops") if ops is not None else None)
 
 
 @dataclass(frozen=True, slots=True)
--- a/chutepin/lab/standins.py
+++ b/chutepin/lab/standins.py
@@ -49,13 +49,14 @@
         self.descriptors = 0  # the program's soft limit, if it is to have one
         self.program = ROOT  # whose program runs
         self.process: asyncio.subprocess.Process | None = None
-        self.port = self.listen_port = 0
+        self.port = self.listen_port = self.ops_port = 0
         self.errors = ""
 
     async def start(self, stack: AsyncExitStack, *arguments: str,
-                    environ: dict[str, str] | None = None) -> None:
-        """Start the stand-ins and the real program."""
+                    environ: dict[str, str] | None = None, ops: bool = False) -> None:
+        """Start the stand-ins and the real program, with an address for operators if asked for."""
         self.port = self.listen_port or await free_port()
+        self.ops_port = await free_port() if ops else 0
         self.path = Path(stack.enter_context(tempfile.TemporaryDirectory())) / "config.json"
         await self.configure(stack)
         self.process = await asyncio.create_subprocess_exec(
@@ -83,6 +84,7 @@
             "records": f"127.0.0.1:{ports[1]}", "control": f"127.0.0.1:{ports[2]}",
             "seed": "8c1f30d27a5be964", "stop_ms": self.stop_ms,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            **({"ops": f"127.0.0.1:{self.ops_port}"} if self.ops_port else {}),
             "settings": self.env}))
 
     def hang_up(self) -> None:
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -14,6 +14,7 @@
 from ..admission import Acceptor, Deadlines, Ledger, ProxyError, ProxyHead, Reason, Rules, Table, Use, Welcome
 from ..broker import Answer, Broker, Request, Verdict
 from ..config import Address
+from ..lifecycle import Lifecycle
 from ..ops import Clock, Counters, Log
 from .lines import ProtocolError
 
@@ -248,7 +249,9 @@
     """All balancers' connections and what their messages mean."""
 
     def __init__(self, broker: Broker, clock: Clock, counters: Counters, log: Log, sockets: int,
-                 rules: Rules | None = None, ledger: Ledger | None = None) -> None:
+                 rules: Rules | None = None, ledger: Ledger | None = None,
+                 lifecycle: Lifecycle | None = None) -> None:
+        self._lifecycle = lifecycle or Lifecycle()
         self.broker, self.clock, self.counters, self.log = broker, clock, counters, log
         self.max_connections = max(8, sockets // 2)
         self.table = Table(rules or Rules(), self.max_connections)
@@ -291,10 +294,15 @@
             self.table.spoke(connection.key, connection.last_used, Use.CHECKS, bool(connection.open))
             value = self.broker.value
             fields = b"" if value is None else f"v={value:.6g}".encode()
-            connection.write(array(tag, b"UP" if self.broker.good else b"DOWN", fields))
+            connection.write(array(tag, b"UP" if self.healthy else b"DOWN", fields))
         else:
             raise ProtocolError("an unknown verb")
 
+    @property
+    def healthy(self) -> bool:
+        """How health checks are answered: by the module's view and the process's state."""
+        return self.broker.good and self._lifecycle.healthy
+
     def passed(self, connection: Connection, sent: bool, data: bytes) -> None:
         """Let a record be kept."""
         if self.tap is not None:
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -17,6 +17,7 @@
 from .admission.addresses import Networks
 from .broker import Broker
 from .config import AdmissionSetup, AmqpConfig, Config, ConfigError, Setup, StoreSetup, load, load_setup
+from .lifecycle import Lifecycle, Move
 from .net.control import Reporter
 from .net.executor import ExecutorLink, Session
 from .net.records import RecordsService
@@ -24,6 +25,7 @@
 from .ops import Clock, Counters, Log, LogFormat
 
 if TYPE_CHECKING:
+    from .admin import Listener
     from .net.amqp import Consumer
     from .pcap import Recorder, Source
     from .store import Store
@@ -68,12 +70,13 @@
         return None
 
 
-def shares(limit: int, amqp: bool, store: bool) -> Ledger:
+def shares(limit: int, amqp: bool, store: bool, ops: bool = False) -> Ledger:
     """The descriptors shared out: half for the front at most, two fifths for records, as after a
     reload old and new connections stand side by side; what must reconnect has its own."""
     return Ledger(limit, {
         "front": (0, max(8, limit // 2)), "records": (max(2, limit // 32), max(8, 2 * limit // 5)),
-        "executor": (2, 2), "control": (1, 1), "amqp": (2 * amqp, 2), "store": (8 * store, 40), "files": (2, 8)},
+        "executor": (2, 2), "control": (1, 1), "amqp": (2 * amqp, 2), "store": (8 * store, 40), "files": (2, 8),
+        "ops": (4 * ops, max(4, min(16, limit // 32)) * ops)},
         descriptors() or 0)
 
 
@@ -103,21 +106,27 @@
         self.setup, self._setup_path = setup or Setup(), setup_path
         self.clock = Clock()
         self.counters = Counters()
+        self.lifecycle = Lifecycle()
         self.log = Log(self.clock, log_format)
         alarm = LoopAlarm(self.clock)
         session = Session(self.clock, self.counters, self.log,
                           config.settings.halt is api.Halt.PAUSE)
         # Descriptors that the process may really have, whatever the configuration allows.
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self.ledger = shares(sockets, amqp is not None, self.setup.store is not None)
+        self.ledger = shares(sockets, amqp is not None, self.setup.store is not None, config.ops is not None)
         self.executor = ExecutorLink(config.executor, session, self.counters, self.log)
         self.records = RecordsService(config.records, self.clock, self.counters, self.log,
                                       max(4, sockets // 5), self.ledger)
         self.broker = Broker(config.settings, config.seed, self.clock, self.counters, self.log,
                              self.executor, self.records, alarm, config.memory)
+        self.broker.began = self._began
         alarm.broker = session.notices = self.records.listener = self.broker
         self.front = Front(self.broker, self.clock, self.counters, self.log, sockets,
-                           rules_of(self.setup.admission), self.ledger)
+                           rules_of(self.setup.admission), self.ledger, self.lifecycle)
+        self.listener: Listener | None = None
+        if config.ops is not None:  # loaded only where operators call
+            from .admin import Calls, Listener
+            self.listener = Listener(Calls(self.lifecycle, self.broker.figures), self.ledger, self.counters, self.log)
         self.consumer: Consumer | None = None
         if amqp is not None:
             # Loaded only where an operator turns the front on: the platform's nodes need no codec for it.
@@ -204,6 +213,11 @@
             await self.front.listen(self.config.listen)
         except OSError as error:
             raise ConfigError(f"listen: {error.strerror or error}") from None
+        if self.listener is not None and self.config.ops is not None:
+            try:
+                await self.listener.listen(self.config.ops.host, self.config.ops.port)
+            except OSError as error:
+                raise ConfigError(f"ops: {error.strerror or error}") from None
         work: list[Awaitable[None]] = [self.executor.run(), self._sweep(), self.reporter.run()]
         if self.consumer is not None:
             work.append(self.consumer.run())
@@ -243,8 +257,11 @@
             await asyncio.sleep(0.01)
         self._told.set()
 
+    def _began(self) -> None:
+        self.lifecycle.move(Move.CAN_SERVE)
+
     def _ready(self) -> bool:
-        return self.broker.good and not self._told.is_set()
+        return self.front.healthy and not self._told.is_set()
 
     def _failed(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         """Guards the node against an error in one connection's handling: the rest serves on."""
@@ -266,6 +283,7 @@
     async def _leave(self) -> None:
         """Serve through the grace, say goodbye, and go once all is answered and the balancers have closed."""
         self.log.event("leaves")
+        self.lifecycle.move(Move.LEAVE)
         stop = self.clock.now() + self.config.stop - STOP_MARGIN
         self.broker.drain(stop)
         if self.consumer is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -279,6 +279,7 @@
     "executor": {"executor": None},
     "seed": {"seed": "xyz"},
     "stop_ms": {"stop_ms": -1},
+    "ops": {"ops": "127.0.0.1"},
     "limits.sockets": {"limits": {"sockets": "many"}},
     "settings": {"settings": []},
 }
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,182 @@
+"""The operators' socket, the states of the process and the figures; also by random pieces and steps."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chutepin.admin.calls import Calls
+from chutepin.admin.exposition import exposition
+from chutepin.admin.lines import MAX_LINE, LineError, LineReader
+from chutepin.figures import Figures
+from chutepin.lifecycle import TABLE, Lifecycle, Move, State
+from chutepin.net.resp import array
+
+from .helper import STEPS, Core, Standins
+from .test_node import on_sockets
+
+# --- decisions, without a socket ---
+
+
+@STEPS
+@given(st.text(st.characters(codec="ascii", exclude_characters="\n"), max_size=300), st.booleans(),
+       st.lists(st.integers(1, 40), min_size=1))
+def test_a_line_is_read_in_any_pieces(text: str, crlf: bool, cuts: list[int]) -> None:
+    data = text.encode() + (b"\r\n" if crlf else b"\n")
+    reader, got = LineReader(), None
+    try:
+        while data and got is None:
+            size = cuts[len(data) % len(cuts)]
+            got, data = reader.feed(data[:size]), data[size:]
+    except LineError:
+        assert not text.strip() or len(text) + 2 > MAX_LINE
+    else:
+        assert got == text.strip()
+
+
+@pytest.mark.parametrize("data", [b"\n", b"\r\n", b"  \n", b"r\xc3\xa9ady\n", b"x" * MAX_LINE, b"x" * 10**6])
+def test_a_line_that_is_no_call_is_told_why(data: bytes) -> None:
+    with pytest.raises(LineError):
+        LineReader().feed(data)
+
+
+def test_every_call_has_an_answer_in_every_state() -> None:
+    expected = {
+        State.STARTING: "FFF", State.SERVING: "SSS", State.DRAINED: "SSS", State.HANDING_OVER: "FFF",
+        State.LEAVING: "FFF"}
+    for state, answers in expected.items():
+        for name, mark in zip(("ready", "drain", "resume"), answers, strict=True):
+            lifecycle = Lifecycle()
+            lifecycle.state = state
+            answer = Calls(lifecycle, Figures(())).answer(name)
+            assert answer[0] == mark and answer.endswith("\n") and answer.count("\n") == 1, (state, name)
+    calls = Calls(Lifecycle(), Figures(()))
+    assert calls.answer("reboot").startswith("FAILURE no such call")
+    assert calls.answer("drain now").startswith("FAILURE drain takes no")
+
+
+def test_a_drain_shows_until_resume_and_nothing_brings_a_leaving_process_back() -> None:
+    lifecycle = Lifecycle()
+    for move, healthy in ((Move.CAN_SERVE, True), (Move.DRAIN, False), (Move.DRAIN, False), (Move.RESUME, True)):
+        assert lifecycle.move(move) and lifecycle.healthy is healthy and lifecycle.can_serve
+    assert lifecycle.move(Move.LEAVE) and not lifecycle.handed_over
+    assert not any(lifecycle.move(move) for move in Move if move is not Move.LEAVE)
+    assert set(TABLE) == set(State)
+    old = Lifecycle()
+    assert all(old.move(move) for move in (Move.CAN_SERVE, Move.SUCCEEDED, Move.LEAVE))
+    assert old.handed_over and old.healthy
+
+
+def test_the_figures_name_every_class_from_the_start_and_escape_it() -> None:
+    figures = Figures(["a", 'b"\\\n'])
+    figures.taken("a")
+    figures.taken("a")
+    figures.taken("no such class")
+    figures.ended("a", "answered")
+    lines = exposition(figures).splitlines()
+    assert 'node_transactions_total{group="a",state="answered"} 1' in lines
+    assert 'node_transactions_total{group="b\\"\\\\\\n",state="errored"} 0' in lines
+    assert "node_current 1" in lines and "node_sends_total 0" in lines and len(lines) == 10
+
+
+def test_each_request_is_counted_once_at_its_outcome() -> None:
+    core = Core()
+    core.pick("a", "position-push")
+    core.pick("a", "position-push")  # an id that is open: failed, and counted as such
+    core.pick("b", "position-push", tenant="nobody")
+    core.pick("c", "position-push")
+    core.broker.gone("c")
+    core.broker.gone("c")
+    row = core.broker.figures.rows["position-push"]
+    assert (row.taken, row.errored, row.withdrawn, core.broker.figures.current) == (4, 2, 1, 1)
+    core.end("a")
+    core.end("c")
+    assert (row.answered, core.broker.figures.current, core.broker.figures.sends) == (1, 0, 2)
+    assert core.broker.figures.balanced(0)
+
+
+# --- the real program ---
+
+
+async def call(world: Standins, line: bytes) -> str:
+    """One call as an operator makes it; the whole answer, up to the node's close."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", world.ops_port)
+    writer.write(line)
+    if not line.endswith(b"\n"):
+        writer.write_eof()
+    answer = await reader.read()
+    writer.close()
+    return answer.decode()
+
+
+def test_operators_ask_drain_and_resume_a_node_that_serves_on() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack, ops=True)
+        balancer = await world.connect()
+
+        async def check(tag: int) -> bytes:
+            balancer.writer.write(array(b"RPC.HEALTH", b"%d" % tag, b""))
+            return (await balancer.answer(tag))[0]
+
+        assert (await call(world, b"ready\n")).startswith("SUCCESS yes")
+        assert await check(901) == b"UP"
+        assert (await call(world, b"drain\r\n")).startswith("SUCCESS")
+        assert await check(902) == b"DOWN"
+        late = await world.connect()  # word of the drain reaches balancers late
+        assert (await late.answer(late.call("status-read", b"late")))[0] == b"OK"
+        assert (await call(world, b"resume")).startswith("SUCCESS")  # a line that the end cuts off
+        assert await check(903) == b"UP"
+        text = await call(world, b"show-stat\n")
+        assert text.startswith("SUCCESS\n") and text.endswith("\nEOT\n")
+        assert 'node_transactions_total{group="status-read",state="answered"} 1\n' in text
+        assert (await call(world, b"\xff\n")).startswith("FAILURE not ASCII")
+        await balancer.close()
+        await late.close()
+
+    on_sockets(test)
+
+
+def test_callers_that_finish_no_call_shut_nobody_out() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        world.sockets = 64  # four callers at a time
+        await world.start(stack, ops=True)
+        stuck = [await asyncio.open_connection("127.0.0.1", world.ops_port) for _ in range(12)]
+        for index, (_, writer) in enumerate(stuck):
+            writer.write(b"rea"[:index % 4])
+        full = [await world.connect() for _ in range(30)]
+        async with asyncio.timeout_at(asyncio.get_running_loop().time() + 20):
+            assert (await call(world, b"ready\n")).startswith("SUCCESS")
+        ended = await asyncio.gather(*(reader.read() for reader, _ in stuck[:6]))
+        assert ended == [b""] * 6  # the oldest made room
+        for _, writer in stuck:
+            writer.close()
+        for balancer in full:
+            await balancer.close()
+        assert "ops.made_room" in await world.leave()
+
+    on_sockets(test)
+
+
+def test_without_an_address_nothing_listens_and_a_drain_does_not_outlive_the_process() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack)
+        with pytest.raises(OSError):
+            await call(world, b"ready\n")
+        for _ in range(2):
+            await world.leave()
+            world.joins.clear()
+            await world.start(stack, ops=True)
+            assert (await call(world, b"drain\n")).startswith("SUCCESS")
+        await world.leave()
+        world.joins.clear()
+        await world.start(stack, ops=True)
+        balancer = await world.connect()
+        balancer.writer.write(array(b"RPC.HEALTH", b"1", b""))
+        assert (await balancer.answer(1))[0] == b"UP"
+        await balancer.close()
+
+    on_sockets(test)
