Upgrades: the listener is passed, keys have one authority over both processes

A test with a stopped predecessor found a peer that stayed in 'telling' when a successor had left before it was greeted; mended.

--- a/chutepin/admission/acceptor.py
+++ b/chutepin/admission/acceptor.py
@@ -41,6 +41,14 @@
     DROP = 3
 
 
+class Share(Enum):
+    """Whether others may listen on the same address."""
+
+    NONE = 1
+    LATER = 2  # nobody does now; another process of this node may, later
+    BESIDE = 3  # another process of this node does
+
+
 class Gate(Protocol):
     """Who judges newcomers and serves them."""
 
@@ -59,9 +67,10 @@
         self._gate, self._farewell, self._counters, self._log = gate, farewell, counters, log
         self._sockets: list[socket.socket] = []
         self._spare = -1
+        self._halted = False
         self._paused: asyncio.TimerHandle | None = None
 
-    async def listen(self, host: str, port: int) -> None:
+    async def listen(self, host: str, port: int, share: Share = Share.NONE) -> None:
         """Listen on all addresses of a host. Raises OSError."""
         loop = asyncio.get_running_loop()
         found = await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
@@ -71,6 +80,13 @@
                 self._sockets.append(sock)
                 sock.setblocking(False)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                if share is Share.LATER:
+                    # With the option the system would let this process in beside a stranger: ask without it first.
+                    with socket.socket(family, kind, protocol) as probe:
+                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                        probe.bind(address)
+                if share is not Share.NONE:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
                 if family == socket.AF_INET6:
                     sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
                 sock.bind(address)
@@ -81,6 +97,34 @@
         self._keep_spare()
         self._watch()
 
+    def adopt(self, sockets: list[socket.socket]) -> None:
+        """Listen on sockets of another process of this node, beside those that are listened on already."""
+        for sock in sockets:
+            sock.setblocking(False)
+            self._sockets.append(sock)
+        if self._spare < 0:
+            self._keep_spare()
+        self._watch()
+
+    @property
+    def sockets(self) -> list[socket.socket]:
+        """What is listened on, for a successor."""
+        return list(self._sockets)
+
+    def halt(self) -> None:
+        """Accept no more, but keep the sockets: what waits in their backlog is another process's."""
+        self._halted = True
+        if self._paused is not None:
+            self._paused.cancel()
+            self._paused = None
+        for sock in self._sockets:
+            asyncio.get_running_loop().remove_reader(sock)
+
+    def go_on(self) -> None:
+        """Accept again."""
+        self._halted = False
+        self._watch()
+
     @property
     def port(self) -> int:
         """The port that is listened on."""
@@ -111,6 +155,8 @@
     # --- turns ---
 
     def _watch(self) -> None:
+        if self._halted:
+            return
         loop = asyncio.get_running_loop()
         for sock in self._sockets:
             loop.add_reader(sock, self._readable, sock)
--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -11,7 +11,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
@@ -21,16 +21,15 @@
 from . import facade
 from .facade import CallEnded, CallWanted, Drain, End, Facade, Left, Offer, RunEnded
 from .figures import Figures
+from .keys import Entry, Single, Standing, Table, Twin
 from .ops import Clock, Counters, Log
 
 MAX_REQUESTS = 2048  # requests in hand; each holds a body of up to 2 KiB
 KEYS_PART = 1 / 3  # of the node's own memory that the table of keys may take
-KEY_BYTES = 1024  # that an entry takes, its result apart
-KEY_SLACK = 0.1  # seconds that a window is stretched by: an entry may outlive its window, never the reverse
-KEY_GRACE = 5.0  # an entry stays this long after its window, for tries that came in time but are read late
 LINGER = 60.0  # seconds that a run nobody waits for may go on where the executor cannot see that
 OVERDUE = 0.06  # seconds past its due time at which the core itself answers what the module did not
 AHEAD = 1.0  # seconds by which a caller's times may be beyond what its contract and our clock allow
+ASK_BY = 0.5  # seconds in which the node's other process must say whether a key may be taken
 METER_WAIT = 0.015  # seconds that a timer waits for fresh gauges
 
 
@@ -121,6 +120,10 @@
     AT_CALL = "at call"
     CALLING = "calling"
     SHARING = "sharing"
+    ASKING = "asking"  # the node's other process is asked for its key; the module does not know of it yet
+
+
+_NOT_BEGUN = (Phase.HELD, Phase.SHARING, Phase.ASKING)  # nothing runs: over once nobody is owed an answer
 
 
 @dataclass(slots=True)
@@ -137,27 +140,12 @@
     call_since: float = 0.0
 
 
-@dataclass(slots=True)
-class Entry:
-    """One key: which try has it, which one ran, and what came of that."""
-
-    key: str
-    holder: str
-    until: float
-    contents: bytes  # digest of what all its tries carry
-    ran: str | None = None
-    end: End | None = None
-    result: bytes = b""
-    waiting: list[str] = field(default_factory=list)
-
-
 class Broker:
     """One node. The fronts call `pick` and `gone`, the links the methods below them, the alarm `tick`."""
 
     def __init__(self, settings: api.Settings, seed: int, clock: Clock, counters: Counters, log: Log,
                  executor: Executor, records: Records, alarm: Alarm, memory: int) -> None:
-        self._key_room = int(memory * KEYS_PART)
-        self._key_results = 0  # bytes of kept results
+        self.keys = Table(int(memory * KEYS_PART))
         self._clock, self._counters, self._log = clock, counters, log
         self._executor, self._records, self._alarm = executor, records, alarm
         self._classes = {cls.name: cls for cls in settings.classes}
@@ -169,8 +157,8 @@
         self.figures = Figures(self._classes)
         self._started = False
         self.began: Callable[[], None] = lambda: None  # told once the executor is up
+        self.twin: Twin = Single()
         self._attempts: dict[str, Attempt] = {}
-        self._keys: dict[str, Entry] = {}
         self._reports: deque[facade.Report] = deque()
         self._reporting = False
         self._timers: list[tuple[float, int]] = []
@@ -202,6 +190,11 @@
         """Requests that are owed an answer."""
         return self.figures.current
 
+    @property
+    def unsettled(self) -> bool:
+        """A request is owed an answer, or a run goes on."""
+        return bool(self._attempts)
+
     @property
     def classes(self) -> dict[str, api.RequestClass]:
         """The contracts by class."""
@@ -222,15 +215,14 @@
             self._counters.add("requests.malformed")
             self._answer_now(request.cls, caller, Answer(Verdict.FAILED, value=self._value))
             return
-        entry = self._entry(request, cls)
+        entry = self.keys.find(request.key, request.arrived) if cls.repeat is Repeat.KEYED else None
         if entry is not None and entry.contents != _contents(request):
             # Another request under a key that is taken: it must not get a result that no run made for it.
             self._counters.add("requests.malformed")
             self._answer_now(request.cls, caller, Answer(Verdict.FAILED, value=self._value))
             return
         full = len(self._attempts) >= MAX_REQUESTS or (
-            cls.repeat is Repeat.KEYED and entry is None
-            and len(self._keys) * KEY_BYTES + self._key_results >= self._key_room)
+            cls.repeat is Repeat.KEYED and entry is None and self.keys.full)
         if not self._started or full or (cls.repeat is Repeat.KEYED and request.key is None):
             # Before the executor is up nothing can run; a full table could not keep a run from being
             # repeated; without a key nothing tells a repeat.
@@ -238,20 +230,40 @@
             verdict = Verdict.FAILED if self._key_ran(request) else Verdict.REFUSED
             self._answer_now(request.cls, caller, Answer(verdict, value=self._value))
             return
+        standing = self.twin.standing(now) if cls.repeat is Repeat.KEYED and entry is None else Standing.OWNS
+        if standing is Standing.CLOSED:  # it may have run in a process that can't be asked
+            self._counters.add("keys.closed")
+            self._answer_now(request.cls, caller, Answer(Verdict.FAILED, value=self._value))
+            return
         # Guards what the module learns from the wait, and the windows of keys, against times that cannot be.
         request.arrived = max(now - cls.deadline, min(now, request.arrived))
-        self._attempts[request.id] = Attempt(request, caller, cls.repeat)
+        attempt = self._attempts[request.id] = Attempt(request, caller, cls.repeat)
+        if standing is Standing.ASKS:
+            attempt.phase = Phase.ASKING
+            self._due_at(request.id, min(request.due, now + ASK_BY))
+            self.twin.ask(request.id, request.key or "", _contents(request), request.arrived + cls.window)
+            return
+        self._offer(attempt, entry)
+
+    def _offer(self, attempt: Attempt, entry: Entry | None) -> None:
+        """Let the module decide about a request."""
+        request, now = attempt.request, self._clock.now()
         offer = Offer(
             request.id, request.cls, request.tenant, request.subject, request.arrived, request.due,
             request.size, request.rank, request.caller, request.again,
             (entry.ran or entry.holder) if entry else None)
-        self._settle(lambda: self._facade.pick(self._clock.now(), offer))
+        self._settle(lambda: self._facade.pick(now, offer))
         if request.id in self._attempts:
-            heapq.heappush(self._dues, (max(now, min(request.due, now + cls.deadline)) + OVERDUE, request.id))
-            if len(self._dues) > 2 * len(self._attempts) + MAX_REQUESTS:  # most are answered long before
-                self._dues = [due for due in self._dues if due[1] in self._attempts]
-                heapq.heapify(self._dues)
-            self._arm()
+            deadline = self._classes[request.cls].deadline
+            self._due_at(request.id, max(now, min(request.due, now + deadline)) + OVERDUE)
+
+    def _due_at(self, id: str, at: float) -> None:
+        """Look then whether a request still lacks its answer."""
+        heapq.heappush(self._dues, (at, id))
+        if len(self._dues) > 2 * len(self._attempts) + MAX_REQUESTS:  # most are answered long before
+            self._dues = [due for due in self._dues if due[1] in self._attempts]
+            heapq.heapify(self._dues)
+        self._arm()
 
     def gone(self, id: str) -> None:
         """The caller no longer waits: no answer is owed."""
@@ -272,11 +284,82 @@
         if self._started:
             self._report(Drain(stop))
 
+    def finish(self, stop: float) -> None:
+        """All is answered by `stop`, and nothing else changes: a successor takes what comes."""
+        self._drain_stop = stop
+        self._arm()
+
     @property
     def last_arrival(self) -> float | None:
         """What arrives later than this is not run; None while no drain was asked for."""
         return self._last_arrival
 
+    # --- for the node's other process ---
+
+    @property
+    def use(self) -> tuple[int, float]:
+        """Runs that are, or may at once be, on the cores; memory of all requests in KB. Both by the module's count."""
+        return self._facade.use
+
+    def elsewhere(self, running: int, memory: float) -> None:
+        """The other process's use: room that the module does not have."""
+        self._settle(lambda: self._facade.elsewhere(self._clock.now(), running, memory))
+
+    def learned(self) -> dict[str, object]:
+        """What the module's experience taught it, as JSON knows it."""
+        return self._facade.learned()
+
+    def adopt(self, learned: dict[str, object]) -> None:
+        """Begin with what another process's module had learned. What makes no sense is counted and left."""
+        self._counters.holds(self._facade.adopt(learned), "adopts what was learned")
+
+    def granted(self, id: str, key: str, may: bool) -> None:
+        """The other process's answer to `Twin.ask`: the key may be taken, or its entry was told before."""
+        attempt = self._attempts.get(id)
+        if attempt is None or attempt.phase is not Phase.ASKING:
+            if may and self.keys.find(key, 0.0) is None:
+                self.keys.told(key, None)  # nobody wants it any more
+            return
+        if not may:
+            self._counters.add("keys.not_granted")
+            self._answer(attempt, Answer(Verdict.REFUSED, value=self._value))
+            return
+        attempt.phase = Phase.HELD
+        entry = self.keys.find(key, attempt.request.arrived)
+        if entry is not None and entry.contents != _contents(attempt.request):
+            self._counters.add("requests.malformed")
+            self._answer(attempt, Answer(Verdict.FAILED, value=self._value))
+            return
+        self._offer(attempt, entry)
+        if key not in self.keys.entries:
+            self.keys.told(key, None)  # the module turned it away
+
+    def asked(self, id: str, key: str, contents: bytes, until: float) -> bool:
+        """The other process wants a key. Unless it is known here, it is that process's from now on; false where there
+        is no room for it."""
+        if self.keys.find(key, self._clock.now()) is None:
+            if self.keys.full or key in self.keys.entries:  # its window is over, but some may have come within it
+                return False
+            self.keys.learn(Entry(key, id, until, contents))
+        return True
+
+    def heard(self, entry: Entry) -> None:
+        """The other process tells what became of a key."""
+        self._waited(self.keys.learn(entry), entry.end or End.ERROR, entry.result)
+        self._settle()
+
+    def unheard(self, key: str) -> None:
+        """The other process has given a key up."""
+        self._waited(self.keys.unlearn(key), End.ERROR, b"")
+        self._settle()
+
+    def orphaned(self) -> None:
+        """The other process has gone: its room is free; what it ran stays in doubt; what asks it is turned away."""
+        self._waited(self.keys.orphan(), End.ERROR, b"")
+        for attempt in [a for a in self._attempts.values() if a.phase is Phase.ASKING]:
+            self._answer(attempt, Answer(Verdict.REFUSED, value=self._value))
+        self.elsewhere(0, 0.0)
+
     # --- for the executor's link ---
 
     def welcome(self, cold: bool, born: float) -> None:
@@ -375,7 +458,10 @@
             late += list(self._attempts)
         for id in late:
             attempt = self._attempts.get(id)
-            if attempt is not None and attempt.owed:
+            if attempt is not None and attempt.phase is Phase.ASKING:
+                self._counters.add("keys.not_granted")
+                self._answer(attempt, Answer(Verdict.REFUSED, value=self._value))
+            elif attempt is not None and attempt.owed:
                 self._counters.add("answers.overdue")
                 self._answer(attempt, Answer(Verdict.FAILED, value=self._value))
                 self._report(Left(id))
@@ -449,7 +535,7 @@
         """Answer with the result of the try that ran, now or once it ends."""
         attempt = self._attempts[id]
         attempt.phase = Phase.SHARING
-        entry = self._keys.get(attempt.request.key or "")
+        entry = self.keys.entries.get(attempt.request.key or "")
         if entry is None:
             self._share_ends(id, End.ERROR, b"")
         elif entry.end is not None:
@@ -487,7 +573,7 @@
         attempt.owed = False
         self._answer_now(attempt.request.cls, attempt.caller, answer)
         self._end_unwatched(attempt)
-        if attempt.phase in (Phase.HELD, Phase.SHARING):
+        if attempt.phase in _NOT_BEGUN:
             self._forget(attempt.request.id)
 
     def _end_unwatched(self, attempt: Attempt) -> None:
@@ -527,76 +613,57 @@
                     self._forget(what.id)
                 elif isinstance(what, Left):
                     attempt = self._attempts.get(what.id)
-                    if attempt is not None and attempt.phase in (Phase.HELD, Phase.SHARING):
+                    if attempt is not None and attempt.phase in _NOT_BEGUN:
                         self._forget(what.id)
         finally:
             self._reporting = False
 
     # --- the table of keys ---
 
-    def _entry(self, request: Request, cls: api.RequestClass) -> Entry | None:
-        """The entry that this try repeats: one whose window it arrived in, however late it was read."""
-        if cls.repeat is not Repeat.KEYED or request.key is None:
-            return None
-        entry = self._keys.get(request.key)
-        return entry if entry is not None and request.arrived <= entry.until else None
-
     def _key_ran(self, request: Request) -> bool:
         """Some try of this request ran: then no try of it is turned away as if none had."""
-        entry = self._keys.get(request.key or "")
-        return entry is not None and entry.ran is not None and request.arrived <= entry.until
+        entry = self.keys.find(request.key, request.arrived)
+        return entry is not None and entry.ran is not None
 
     def keep_key(self, id: str, until: float) -> None:
         """Enter a try into the table, or hand an entry that never ran over to a newer try."""
         request = self._attempts[id].request
-        key = request.key or ""
-        entry = self._keys.get(key)
-        if entry is None or (entry.ran is not None and request.arrived > entry.until):
-            self._key_results -= len(entry.result) if entry is not None else 0
-            entry = self._keys[key] = Entry(key, id, until + KEY_SLACK, b"")
-        entry.until = max(entry.until, until + KEY_SLACK)
-        if entry.ran is None:
-            entry.holder, entry.contents = id, _contents(request)
+        self.keys.keep(request.key or "", id, request.arrived, until, _contents(request))
 
     def forget_key(self, id: str) -> None:
         """Take an entry out whose try never ran."""
         attempt = self._attempts.get(id)
-        entry = self._keys.get(attempt.request.key or "") if attempt is not None else None
+        entry = self.keys.entries.get(attempt.request.key or "") if attempt is not None else None
         if entry is not None and entry.holder == id and entry.ran is None:
-            self._drop_entry(entry)
+            self._waited(self.keys.drop(entry), End.ERROR, b"")
 
     def _key_runs(self, attempt: Attempt) -> bool:
-        """Guards the rule itself: whatever the module decides, no second try of a key runs in the window."""
+        """A key runs at most once within its window, and not before the node's other process knows."""
         if attempt.repeat is not Repeat.KEYED:
             return True
         request = attempt.request
-        entry = self._keys.get(request.key or "")
+        entry = self.keys.entries.get(request.key or "")
         fresh = entry is not None and entry.holder == request.id and entry.ran is None
-        if not self._counters.holds(fresh, "one run a key") or entry is None:
+        if not self._counters.holds(fresh, "one run a key"):
             return False
-        entry.ran = request.id
         window = max(self._classes[request.cls].window, request.remembered)
-        entry.until = max(entry.until, request.arrived + window + KEY_SLACK)
-        return True
+        if self.keys.run(request.key or "", request.id, request.arrived + window):
+            return True
+        self._counters.add("keys.not_told")  # and never ran: a further try is new
+        if (entry := self.keys.entries.get(request.key or "")) is not None:
+            self._waited(self.keys.drop(entry), End.ERROR, b"")
+        return False
 
     def _key_ended(self, attempt: Attempt, end: End, result: bytes) -> None:
-        entry = self._keys.get(attempt.request.key or "")
-        if entry is None or entry.ran != attempt.request.id:
-            return
-        if end is End.NEVER:  # proof that nothing was started: a further try may run
-            self._drop_entry(entry)
-            return
-        entry.end, entry.result = (End.OK, result) if end is End.OK else (End.ERROR, b"")
-        self._key_results += len(entry.result)
-        waiting, entry.waiting = entry.waiting, []
-        for id in waiting:
-            self._share_ends(id, entry.end, entry.result)
+        if attempt.repeat is Repeat.KEYED:
+            entry = self.keys.entries.get(attempt.request.key or "")
+            waiting = self.keys.ended(attempt.request.key or "", attempt.request.id, end, result)
+            ok = end is End.OK and entry is not None
+            self._waited(waiting, End.OK if ok else End.ERROR, result if ok else b"")
 
-    def _drop_entry(self, entry: Entry) -> None:
-        del self._keys[entry.key]
-        self._key_results -= len(entry.result)
-        for id in entry.waiting:
-            self._share_ends(id, End.ERROR, b"")
+    def _waited(self, waiting: list[str], end: End, result: bytes) -> None:
+        for id in waiting:
+            self._share_ends(id, end, result)
 
     def _share_ends(self, id: str, end: End, result: bytes) -> None:
         attempt = self._attempts.get(id)
@@ -615,10 +682,6 @@
                     self._executor.resolve(id)
                 elif attempt.request.due + LINGER < now:
                     self._executor.kill(id)
-        for entry in [e for e in self._keys.values() if e.until + KEY_GRACE < now]:
-            if entry.ran is None and entry.holder in self._attempts:
-                continue
-            if entry.ran is not None and entry.end is None and entry.ran in self._attempts:
-                continue
-            self._drop_entry(entry)
+        for entry in self.keys.stale(now, self._attempts.__contains__):
+            self._waited(self.keys.drop(entry, tell=False), End.ERROR, b"")  # the other process sweeps for itself
         self._settle()
--- a/chutepin/facade.py
+++ b/chutepin/facade.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 from poststall import api
 from poststall.logic import Policy
@@ -144,6 +144,37 @@
             case Drain(stop):
                 self._handle(now, api.DrainNotice(stop))
 
+    @property
+    def use(self) -> tuple[int, float]:
+        """Runs on the cores or at calls, from which they come back at once; memory of all requests in KB."""
+        return self._policy.in_use + self._policy.calling, self._policy.memory
+
+    def elsewhere(self, now: float, running: int, memory: float) -> None:
+        """What the node's other process uses."""
+        self._handle(now, api.Elsewhere(running, memory))
+
+    def learned(self) -> dict[str, object]:
+        """The module's experience; tables as lists of pairs, as JSON has no numbers as names."""
+        return {name: list(value.items()) if isinstance(value, dict) else value
+                for name, value in self._policy.learned().items()}
+
+    def adopt(self, learned: dict[str, object]) -> bool:
+        """Give the module another one's experience; false, and no change, where it is not one."""
+        mine = self._policy.learned()
+        taken: dict[str, object] = {}
+        try:
+            for name, old in mine.items():
+                value: Any = learned[name]
+                if isinstance(old, dict):  # pairs come back from JSON as lists
+                    taken[name] = {key: tuple(v) if isinstance(v, list) else v for key, v in value}
+                else:
+                    kind: Any = type(old)
+                    taken[name] = kind(value)
+        except (KeyError, TypeError, ValueError):
+            return False
+        self._policy.adopt(taken)
+        return True
+
     def tick(self, now: float, token: int, gauges: tuple[float, ...]) -> None:
         """Time passes: a timer that the module set has come due."""
         self._handle(now, api.TimerFired(token, gauges))
--- /dev/null
+++ b/chutepin/handover/dialogue.py
@@ -0,0 +1,168 @@
+"""What the two processes tell each other and what each makes of it. Sans-I/O: frames in, frames out through `send`."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any, Protocol
+
+from ..keys import Entry, Standing
+from ..net.lines import ProtocolError
+from ..ops import Clock, Counters
+from .frames import Frame, frame, key_entry, key_frame
+from .succession import Stage, Succession
+
+
+class Host(Protocol):
+    """The node, as the hand-over needs it."""
+
+    def entries(self) -> list[Entry]: ...
+
+    def current(self, entry: Entry) -> bool:
+        """It is still in the table."""
+
+    def heard(self, entry: Entry) -> None: ...
+    def unheard(self, key: str) -> None: ...
+    def asked(self, id: str, key: str, contents: bytes, until: float) -> bool: ...
+    def granted(self, id: str, key: str, may: bool) -> None: ...
+    def orphaned(self) -> None: ...
+    def learned(self) -> dict[str, object]: ...
+    def adopt(self, learned: dict[str, object]) -> None: ...
+
+    def use(self) -> tuple[int, float, int]:
+        """Runs, memory in KB, descriptors."""
+
+    def elsewhere(self, running: int, memory: float, descriptors: int) -> None:
+        """What the other process uses."""
+
+    def yields(self) -> None:
+        """A successor serves: accept no more, have what is open here finished."""
+
+    def takes_back(self) -> None:
+        """The successor has gone: accept again."""
+
+
+class Dialogue:
+    """One process's side. It is the core's `keys.Twin`, and what the table of keys tells."""
+
+    def __init__(self, host: Host, succession: Succession, clock: Clock, counters: Counters) -> None:
+        self._host, self._clock, self._counters = host, clock, counters
+        self.succession = succession
+        # Writes to the other process; true where the kernel has all of it. None without one.
+        self.send: Callable[[bytes], bool] | None = None
+        self._welcomed = False
+        self._whole = False  # the successor has been told all keys
+
+    # --- keys.Twin, and keys.Table.told ---
+
+    def standing(self, now: float) -> Standing:
+        """Who may take a key that is not known here."""
+        return self.succession.standing(now)
+
+    def ask(self, id: str, key: str, contents: bytes, until: float) -> None:
+        """Ask the owner of the keys."""
+        self._counters.add("handover.asked")
+        self._say(frame("ASK", id=id, key=key, contents=contents.hex(), until=until))
+
+    def told(self, key: str, entry: Entry | None) -> bool:
+        """An entry of this process has changed. True once the other process is sure to hear of it: the bytes are in the
+        kernel's hands, or there is no other process."""
+        if self.send is None:
+            return self.succession.stage is not Stage.CUT_OFF
+        sure = self._say(frame("DROP", key=key) if entry is None else key_frame(entry))
+        # A successor that was not told all yet takes no key if this process dies now.
+        return sure or (self.succession.stage is Stage.TELLING and not self._whole)
+
+    def _say(self, data: bytes) -> bool:
+        return self.send is not None and self.send(data)
+
+    # --- both ---
+
+    def tell_use(self) -> bool:
+        """Tell what this process uses; whether the kernel took it."""
+        running, memory, descriptors = self._host.use()
+        return self._say(frame("USE", running=running, memory=memory, descriptors=descriptors))
+
+    def hear(self, message: Frame) -> None:
+        """Take in a frame of the other process. Raises ProtocolError."""
+        verb, fields = message
+        self.succession.heard(self._clock.now(), verb)
+        try:
+            self._said(verb, fields)
+        except (KeyError, TypeError, ValueError) as error:
+            raise ProtocolError(f"{verb} is malformed: {error!r}") from None
+
+    def _said(self, verb: str, fields: dict[str, Any]) -> None:
+        match verb:
+            case "KEY":
+                self._host.heard(key_entry(fields))
+            case "DROP":
+                self._host.unheard(str(fields["key"]))
+            case "USE":
+                self._host.elsewhere(int(fields["running"]), float(fields["memory"]), int(fields["descriptors"]))
+            case "SYNCED":
+                self.succession.closed_until = float(fields["closed_until"])  # what it does not know, nobody knows
+                self._take()
+            case "LEARNED":
+                self._host.adopt(fields)
+            case "TAKES" if self.succession.taken():
+                self._counters.add("handover.yielded")
+                self._host.yields()
+                self._say(frame("LEARNED", **self._host.learned()))
+                self._say(frame("YOURS"))
+            case "ASK":
+                id, key = str(fields["id"]), str(fields["key"])
+                may = self._host.asked(id, key, bytes.fromhex(fields["contents"]), float(fields["until"]))
+                self._say(frame("TOLD", id=id, key=key, may=may))
+            case "TOLD":
+                self._host.granted(str(fields["id"]), str(fields["key"]), bool(fields["may"]))
+            case _:
+                pass  # HERE and YOURS have had their effect on the stage
+
+    # --- the newer process ---
+
+    def welcomed(self) -> None:
+        """The executor is up."""
+        self._welcomed = True
+        self._take()
+
+    def _take(self) -> None:
+        if self._welcomed and self.succession.takes(self._clock.now()):
+            self._say(frame("TAKES"))
+
+    def lost(self, alive: bool) -> None:
+        """The link to the predecessor has ended."""
+        self._over()
+        self.succession.lost(self._clock.now(), alive)
+        self._host.orphaned()
+
+    # --- the older process ---
+
+    def snapshot(self) -> Iterator[bytes]:
+        """All keys for a successor, frame by frame. What changes meanwhile is told as it does."""
+        self._whole = False
+        for entry in self._host.entries():
+            if self._host.current(entry):
+                yield key_frame(entry)
+        self._whole = True
+        yield frame("SYNCED", closed_until=max(0.0, self.succession.closed_until))
+
+    def left(self, alive: bool, stood: float) -> None:
+        """The link to the successor has ended."""
+        yielded = self.succession.stage is Stage.YIELDED
+        self._over()
+        self.succession.left(self._clock.now(), yielded and alive, stood)
+        if yielded:
+            self._host.orphaned()
+        if yielded and self.succession.stage is Stage.ALONE:
+            self._host.takes_back()
+
+    def gone(self) -> None:
+        """The other process, which lived without a link to this one, has gone."""
+        cut_off = self.succession.stage is Stage.CUT_OFF
+        self.succession.gone(self._clock.now())
+        if cut_off:
+            self._host.takes_back()
+
+    def _over(self) -> None:
+        self.send = None
+        self._host.elsewhere(0, 0.0, 0)
--- /dev/null
+++ b/chutepin/keys/twin.py
@@ -0,0 +1,35 @@
+"""What the core asks about the node's other process, where there is one: a port."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+
+class Standing(Enum):
+    """Who may take a key that is not in the table."""
+
+    OWNS = "this process"
+    ASKS = "the other process, which must be asked"
+    CLOSED = "nobody, as it can't be known whether it ran"
+
+
+class Twin(Protocol):
+    """The other process."""
+
+    def standing(self, now: float) -> Standing: ...
+
+    def ask(self, id: str, key: str, contents: bytes, until: float) -> None:
+        """Ask for a key that a try wants. The answer comes as `Broker.granted`, unless the other process has gone."""
+
+
+class Single:
+    """There is no other process."""
+
+    def standing(self, now: float) -> Standing:
+        """All keys are this process's."""
+        return Standing.OWNS
+
+    def ask(self, id: str, key: str, contents: bytes, until: float) -> None:
+        """Never called: the standing says so."""
+        raise AssertionError("nobody to ask")
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..admission import Acceptor, Deadlines, Ledger, ProxyError, ProxyHead, Reason, Rules, Table, Use, Welcome
+from ..admission import Acceptor, Deadlines, Ledger, ProxyError, ProxyHead, Reason, Rules, Share, Table, Use, Welcome
 from ..broker import Answer, Broker, Request, Verdict
 from ..config import Address
 from ..lifecycle import Lifecycle
@@ -331,10 +331,34 @@
 
     # --- sockets ---
 
-    async def listen(self, address: Address) -> None:
-        """Accept balancers on this address."""
-        self._acceptor = Acceptor(self, BYE, self.counters, self.log)
-        await self._acceptor.listen(address.host, address.port)
+    async def listen(self, address: Address, share: Share = Share.NONE) -> None:
+        """Accept balancers on this address. Raises OSError."""
+        acceptor = Acceptor(self, BYE, self.counters, self.log)
+        await acceptor.listen(address.host, address.port, share)
+        self._acceptor = acceptor
+
+    def adopt(self, sockets: list[socket.socket]) -> None:
+        """Accept balancers on sockets that another process of this node listened on."""
+        if self._acceptor is None:
+            self._acceptor = Acceptor(self, BYE, self.counters, self.log)
+        self._acceptor.adopt(sockets)
+
+    @property
+    def listeners(self) -> list[socket.socket]:
+        """The sockets that are listened on."""
+        return self._acceptor.sockets if self._acceptor is not None else []
+
+    def yields(self) -> None:
+        """Another process accepts from now on: ask that nothing more be sent on the open connections."""
+        if self._acceptor is not None:
+            self._acceptor.halt()
+        for connection in self.connections.values():
+            connection.bye(self.clock.now())
+
+    def takes_back(self) -> None:
+        """Accept again."""
+        if self._acceptor is not None:
+            self._acceptor.go_on()
 
     def admits(self, address: bytes, short: bool) -> Welcome:
         """The table and the ledger have room for a newcomer, or some is made.
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -13,10 +13,12 @@
 
 from poststall import api
 
-from .admission import Ledger, Rules
+from .admission import Ledger, Rules, Share
 from .admission.addresses import Networks
 from .broker import Broker
 from .config import AdmissionSetup, AmqpConfig, Config, ConfigError, Setup, StoreSetup, load, load_setup
+from .handover import Dialogue, Handover, Succession, meeting_place
+from .keys import Entry
 from .lifecycle import Lifecycle, Move
 from .net.control import Reporter
 from .net.executor import ExecutorLink, Session
@@ -31,6 +33,9 @@
     from .store import Store
 
 STOP_MARGIN = 0.15  # seconds before the process is stopped by which all is answered
+# After a hand-over the process is stopped once the longest deadline, of which this much counts, and a rest are over.
+LONGEST = 3.0  # seconds
+REST = 0.7  # seconds
 
 
 class LoopAlarm:
@@ -112,7 +117,7 @@
         session = Session(self.clock, self.counters, self.log,
                           config.settings.halt is api.Halt.PAUSE)
         # Descriptors that the process may really have, whatever the configuration allows.
-        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self.sockets = sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.ledger = shares(sockets, amqp is not None, self.setup.store is not None, config.ops is not None)
         self.executor = ExecutorLink(config.executor, session, self.counters, self.log)
         self.records = RecordsService(config.records, self.clock, self.counters, self.log,
@@ -144,6 +149,15 @@
         self.store: Store | None = None
         if self.setup.store is not None:  # loaded only where an operator switches it on
             self.store = _open_store(self.setup.store, self.clock, self.log)
+        self.handover: Handover | None = None
+        if place := os.environ.get("TMPDIR"):
+            window = max((cls.window for cls in config.settings.classes), default=0.0)
+            path = meeting_place(place, config.name, f"{config.listen.host}:{config.listen.port}")
+            dialogue = Dialogue(_Side(self), Succession(window), self.clock, self.counters)
+            self.broker.twin, self.broker.keys.told = dialogue, dialogue.told
+            self.handover = Handover(path, dialogue, lambda: self.front.listeners, self.clock, self.counters, self.log)
+            self.handover.serves = self._serve
+        self._serving = False
         self.reporter = Reporter(config.control, config.name, self._ready, self.counters)
         self._told = asyncio.Event()
 
@@ -209,23 +223,25 @@
         loop.add_signal_handler(signal.SIGUSR1, self.print_state)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.set_exception_handler(self._failed)
-        try:
-            await self.front.listen(self.config.listen)
-        except OSError as error:
-            raise ConfigError(f"listen: {error.strerror or error}") from None
+        if self.handover is None or not self.handover.expected:
+            try:
+                await self._serve()
+            except OSError as error:
+                raise ConfigError(f"listen: {error.strerror or error}") from None
         if self.listener is not None and self.config.ops is not None:
             try:
                 await self.listener.listen(self.config.ops.host, self.config.ops.port)
             except OSError as error:
                 raise ConfigError(f"ops: {error.strerror or error}") from None
-        work: list[Awaitable[None]] = [self.executor.run(), self._sweep(), self.reporter.run()]
+        work: list[Awaitable[None]] = [self.executor.run(), self._sweep(), self._report()]
+        if self.handover is not None:
+            work.append(self.handover.run())
         if self.consumer is not None:
             work.append(self.consumer.run())
         if self.source is not None:
             work.append(self._replay(self.source))
         tasks = [asyncio.ensure_future(part) for part in work]
         self.broker.tick()
-        self.log.event("serves", name=self.config.name, listen=f"{self.config.listen.host}:{self.config.listen.port}")
         await self._told.wait()
         await self._leave()
         for task in tasks:
@@ -258,10 +274,42 @@
         self._told.set()
 
     def _began(self) -> None:
-        self.lifecycle.move(Move.CAN_SERVE)
+        """The executor is up."""
+        if self.handover is not None:
+            self.handover.dialogue.welcomed()
+        if self._serving:
+            self.lifecycle.move(Move.CAN_SERVE)
+
+    async def _serve(self) -> None:
+        """Accept balancers, on the sockets of a predecessor where it passed them. Raises OSError at the start only:
+        beside a predecessor the node stays, and is asked again."""
+        sockets = self.handover.sockets if self.handover is not None else []
+        if sockets:
+            self.front.adopt(sockets)
+            sockets.clear()
+        elif not self.front.listeners and self.handover is not None and self.handover.expected:
+            try:
+                await self.front.listen(self.config.listen, Share.BESIDE)
+            except OSError as error:
+                self.log.event("listen.failed", why=error.strerror or str(error))
+                return
+        elif not self.front.listeners:
+            await self.front.listen(self.config.listen, Share.LATER if self.handover is not None else Share.NONE)
+        if not self._serving:
+            self._serving = True
+            self.log.event("serves", name=self.config.name,
+                           listen=f"{self.config.listen.host}:{self.config.listen.port}")
+        if self.broker.started:
+            self.lifecycle.move(Move.CAN_SERVE)
+
+    async def _report(self) -> None:
+        """The list follows what all processes of the node report: one that does not serve yet has nothing to say."""
+        while not self._serving:
+            await asyncio.sleep(SWEEP / 5)
+        await self.reporter.run()
 
     def _ready(self) -> bool:
-        return self.front.healthy and not self._told.is_set()
+        return self.front.healthy and (self.lifecycle.handed_over or not self._told.is_set())
 
     def _failed(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         """Guards the node against an error in one connection's handling: the rest serves on."""
@@ -284,6 +332,9 @@
         """Serve through the grace, say goodbye, and go once all is answered and the balancers have closed."""
         self.log.event("leaves")
         self.lifecycle.move(Move.LEAVE)
+        if self.lifecycle.handed_over:
+            await self._finish()
+            return
         stop = self.clock.now() + self.config.stop - STOP_MARGIN
         self.broker.drain(stop)
         if self.consumer is not None:
@@ -296,3 +347,53 @@
                 self.broker.in_hand or self.front.connections
                 or (self.consumer is not None and not self.consumer.settled)):
             await asyncio.sleep(0.01)
+
+    async def _finish(self) -> None:
+        """A successor serves: no drain, only an end once all that is open here is over."""
+        longest = max((cls.deadline for cls in self.config.settings.classes), default=LONGEST)
+        stop = self.clock.now() + min(longest, LONGEST) + REST - STOP_MARGIN
+        self.broker.finish(stop)
+        if self.consumer is not None:
+            self.consumer.leave()
+        self.front.yields()
+        while self.clock.now() < stop + STOP_MARGIN / 3 and (
+                self.broker.unsettled or self.front.connections
+                or (self.consumer is not None and not self.consumer.settled)):
+            await asyncio.sleep(0.01)
+
+
+class _Side:
+    """The node as the hand-over sees it (`handover.Host`)."""
+
+    def __init__(self, node: Node) -> None:
+        self._node, broker = node, node.broker
+        self.heard, self.unheard, self.orphaned = broker.heard, broker.unheard, broker.orphaned
+        self.asked, self.granted = broker.asked, broker.granted
+        self.learned, self.adopt = broker.learned, broker.adopt
+
+    def entries(self) -> list[Entry]:
+        """All keys that are this process's to tell."""
+        return list(self._node.broker.keys.entries.values())
+
+    def current(self, entry: Entry) -> bool:
+        """It is still in the table."""
+        return self._node.broker.keys.entries.get(entry.key) is entry
+
+    def use(self) -> tuple[int, float, int]:
+        """What this process takes of what both share."""
+        return *self._node.broker.use, self._node.ledger.held + self._node.ledger.other
+
+    def elsewhere(self, running: int, memory: float, descriptors: int) -> None:
+        """What the other process takes."""
+        self._node.ledger.limit = self._node.sockets - descriptors
+        self._node.broker.elsewhere(running, memory)
+
+    def yields(self) -> None:
+        """A successor serves."""
+        self._node.lifecycle.move(Move.SUCCEEDED)
+        self._node.front.yields()
+
+    def takes_back(self) -> None:
+        """It has gone."""
+        self._node.lifecycle.move(Move.ALONE)
+        self._node.front.takes_back()
--- a/poststall/api.py
+++ b/poststall/api.py
@@ -208,7 +208,15 @@
     gauges: tuple[float, ...] = ()
 
 
-Event = Request | Finished | CallerGone | CallNeeded | CallReturned | DrainNotice | TimerFired
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """What another process on the same cores and memory uses: runs that are or may at once be on the cores, and KB."""
+
+    running: int
+    memory: float
+
+
+Event = Request | Finished | CallerGone | CallNeeded | CallReturned | DrainNotice | TimerFired | Elsewhere
 
 # --- actions ---
 
--- a/poststall/logic.py
+++ b/poststall/logic.py
@@ -47,6 +47,12 @@
 TERMINAL_FROM = 0.2  # share of reads refused from which others are taken to be full as well
 HEAP = 1000  # deadlines kept before those that no longer matter are dropped
 CALL_PAUSE = 0.05  # seconds before a failed call is repeated, doubled each time
+# What experience teaches about callers, work and cores; a process that takes over begins with it.
+LEARNED = (
+    "work", "turned", "waits", "patience", "tries", "parts", "heard", "returned", "silent", "first", "served",
+    "buckets", "share", "refused_share", "unread", "reading", "slowness", "core_use", "usual_use",
+    "again_share")
+LIMITS = ("limit", "average", "deviation", "time")
 
 
 class State(Enum):
@@ -151,6 +157,7 @@
         self.call_steps: deque[tuple[float, float, int]] = deque([(-math.inf, 0.0, 0)])
         self.promised = 0.0  # the longest that the calls in hand may yet take, together
         self.memory = 0.0
+        self.other_use, self.other_memory = 0, 0.0  # of another process on the same cores
         self.heap: list[tuple[float, int, str, Job | None]] = []
         self.sequence = self.token = 0
         self.heap_room = HEAP
@@ -200,6 +207,20 @@
         return api.Snapshot(self.runs.limit, self.in_use, self.parked, len(self.held), self.runs.time,
                             self.slowness, self.limited, self.announced, state, dict(self.refusals))
 
+    def learned(self) -> dict[str, object]:
+        """What another process may begin with."""
+        learned: dict[str, object] = {name: getattr(self, name) for name in LEARNED}
+        for owner in ("runs", "calls"):
+            learned |= {f"{owner}.{part}": getattr(getattr(self, owner), part) for part in LIMITS}
+        return learned
+
+    def adopt(self, learned: dict[str, object]) -> None:
+        """Begin with what another process had learned about the same cores and callers."""
+        for name, value in learned.items():
+            owner, _, part = name.rpartition(".")
+            setattr(getattr(self, owner) if owner else self, part, value)
+        self.runs.set_ceiling(self._ceiling())
+
     def _take(self, event: api.Event) -> None:
         if isinstance(event, api.Request):
             self._arrived(event)
@@ -207,6 +228,8 @@
             self._timer(event)
         elif isinstance(event, api.DrainNotice):
             self._drain(event)
+        elif isinstance(event, api.Elsewhere):
+            self.other_use, self.other_memory = event.running, event.memory
         elif (job := self.jobs.get(event.id)) is not None:
             if isinstance(event, api.Finished):
                 self._finished(job, event.outcome)
@@ -326,9 +349,10 @@
         if self.hung:
             return "hang"
         keys = self.settings.key_memory if cls.repeat is Repeat.KEYED and not job.kept else 0.0
-        if self.memory + keys + job.req.size * self.settings.run_factor > self.settings.memory * SAFETY:
+        memory = self.memory + self.other_memory
+        if memory + keys + job.req.size * self.settings.run_factor > self.settings.memory * SAFETY:
             return "memory"
-        if self.in_use + self.reading < self.runs.limit and len(self.held) == 1:
+        if self.in_use + self.other_use + self.reading < self.runs.limit and len(self.held) == 1:
             return ""
         rank = self._density(job)
         ahead = sum(o.work for o in self.held.values() if o is not job and self._density(o) >= rank)
@@ -364,7 +388,8 @@
     def _permit(self) -> bool:
         """Under the limit; reading takes permits as a mean, but none of one run for each core: at two cores a
         single request being read would otherwise keep a core from every run."""
-        return self.in_use < self.settings.cores or self.in_use + self.reading < self.runs.limit
+        used = self.in_use + self.other_use + self.reading
+        return self.in_use < self.settings.cores or used < self.runs.limit
 
     def _start_runs(self) -> None:
         # What the limit leaves of the crowd may be parked: all of them back at once still fit on the cores.
@@ -380,7 +405,7 @@
                 return
             job = max(ready, key=self._density)
             extra = job.req.size * (self.settings.run_factor - 1)
-            if self.memory + extra > self.settings.memory * (1 + SAFETY) / 2:
+            if self.memory + self.other_memory + extra > self.settings.memory * (1 + SAFETY) / 2:
                 return
             if not self.in_use:
                 self.progress = self.now
@@ -491,11 +516,11 @@
         over = self.now - job.arrived > cls.aim and job.arrived >= self.moved
         late = over or self.unread > UNREAD * self.runs.time
         if job.req.hint is None:
-            own = rtt * min(1.0, self.settings.cores / max(1, self.in_use))
+            own = rtt * min(1.0, self.settings.cores / max(1, self.in_use + self.other_use))
             self.work[job.cls] += ALPHA * (own - self.work[job.cls])
         self.waits[job.cls] += ALPHA * (job.waited - self.waits[job.cls])
-        self.runs.finished(self.now, rtt, job.work, self.in_use, late, self.core_use >= 1 - MARGIN,
-                           self.cores_idle)
+        self.runs.finished(self.now, rtt, job.work, self.in_use + self.other_use, late,
+                           self.core_use >= 1 - MARGIN, self.cores_idle)
 
     def _progressed(self) -> None:
         self.progress = self.now
@@ -625,7 +650,8 @@
             self.armed = math.inf
         gauges = dict(zip(self.settings.gauges, event.gauges, strict=False))
         # Reading shares the cores and takes permits too, as a mean; at least one request always runs.
-        self.reading += ALPHA * (max(0.0, gauges.get("on_cores", self.in_use) - self.in_use) - self.reading)
+        runs = self.in_use + self.other_use
+        self.reading += ALPHA * (max(0.0, gauges.get("on_cores", runs) - runs) - self.reading)
         self.core_use = gauges.get("core_use", 0.0)
         # Growth without the wait while cores idle and requests are held (disk waits leave cores idle).
         if "core_use" in gauges:
@@ -709,7 +735,7 @@
         Guards the crowd whatever the calls do, also where runs cannot be stopped: those on the cores and
         those at calls stay under the ceiling together; what waits for its call waits here. Harm: a call
         or a start waits while calls take long."""
-        return self.in_use + self.calling + 1 <= self._crowd()
+        return self.in_use + self.calling + self.other_use + 1 <= self._crowd()
 
     def _ceiling(self) -> int:
         return int(self._crowd() * (1 - PARKED_SHARE))
