--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -649,9 +649,11 @@
         window = max(self._classes[request.cls].window, request.remembered)
         if self.keys.run(request.key or "", request.id, request.arrived + window):
             return True
-        self._counters.add("keys.not_told")  # and never ran: a further try is new
+        # It never ran and must not: the other process may not hear of it. A further try is new.
+        self._counters.add("keys.not_told")
         if (entry := self.keys.entries.get(request.key or "")) is not None:
             self._waited(self.keys.drop(entry), End.ERROR, b"")
+        self._answer(attempt, Answer(Verdict.REFUSED, value=self._value))
         return False
 
     def _key_ended(self, attempt: Attempt, end: End, result: bytes) -> None:
--- a/chutepin/handover/dialogue.py
+++ b/chutepin/handover/dialogue.py
@@ -9,7 +9,7 @@
 from ..net.lines import ProtocolError
 from ..ops import Clock, Counters
 from .frames import Frame, frame, key_entry, key_frame
-from .succession import Stage, Succession
+from .succession import OWNING, Stage, Succession
 
 
 class Host(Protocol):
@@ -47,8 +47,9 @@
     def __init__(self, host: Host, succession: Succession, clock: Clock, counters: Counters) -> None:
         self._host, self._clock, self._counters = host, clock, counters
         self.succession = succession
-        # Writes to the other process; true where the kernel has all of it. None without one.
-        self.send: Callable[[bytes], bool] | None = None
+        # Writes to the other process: true where the kernel has all of it, None where the link has ended and nobody was
+        # told yet. None itself without a link.
+        self.send: Callable[[bytes], bool | None] | None = None
         self._welcomed = False
         self._whole = False  # the successor has been told all keys
 
@@ -68,12 +69,14 @@
         kernel's hands, or there is no other process."""
         if self.send is None:
             return self.succession.stage is not Stage.CUT_OFF
-        sure = self._say(frame("DROP", key=key) if entry is None else key_frame(entry))
+        sure = self.send(frame("DROP", key=key) if entry is None else key_frame(entry))
+        if sure is None:  # the owner of the keys goes on alone: the other one runs none without a link
+            return self.succession.stage in OWNING
         # A successor that was not told all yet takes no key if this process dies now.
         return sure or (self.succession.stage is Stage.TELLING and not self._whole)
 
     def _say(self, data: bytes) -> bool:
-        return self.send is not None and self.send(data)
+        return self.send is not None and bool(self.send(data))
 
     # --- both ---
 
@@ -143,8 +146,12 @@
         for entry in self._host.entries():
             if self._host.current(entry):
                 yield key_frame(entry)
+
+    def synced(self) -> None:
+        """All keys were told. To be called once the kernel has taken them: from here on a key runs only if the kernel
+        takes its claim at once."""
         self._whole = True
-        yield frame("SYNCED", closed_until=max(0.0, self.succession.closed_until))
+        self._say(frame("SYNCED", closed_until=max(0.0, self.succession.closed_until)))
 
     def left(self, alive: bool, stood: float) -> None:
         """The link to the successor has ended."""
--- a/chutepin/handover/link.py
+++ b/chutepin/handover/link.py
@@ -19,6 +19,7 @@
 
 USE_EVERY = 0.05  # seconds between tellings of what this process uses
 AGAIN_AFTER = 0.3  # seconds between looks at a meeting place whose owner did not hand over
+TAKEN = 0.005  # seconds between looks whether the kernel has taken all
 STUCK_BY = 2.0  # seconds in which a peer must read what does not fit the kernel's buffer, else it is given up
 MAX_SOCKETS = 8  # listening sockets that are passed
 MAX_PATH = 100  # bytes of a Unix socket's path; the system takes 107
@@ -113,10 +114,11 @@
 
     def _linked(self, writer: asyncio.StreamWriter) -> None:
         """A link stands: the dialogue may write."""
-        def send(data: bytes) -> bool:
-            if writer.transport.is_closing():
-                return False
-            writer.write(data)
+        def send(data: bytes) -> bool | None:
+            if not writer.transport.is_closing():
+                writer.write(data)
+            if writer.transport.is_closing():  # also by this very write
+                return None
             return writer.transport.get_write_buffer_size() == 0
 
         self._writer, self.dialogue.send, self._stuck_since = writer, send, None
@@ -299,6 +301,9 @@
                 writer.write(data)
                 if writer.transport.get_write_buffer_size():
                     await writer.drain()
+            while writer.transport.get_write_buffer_size() and not writer.transport.is_closing():
+                await asyncio.sleep(TAKEN)
+            self.dialogue.synced()
 
     def _yielded(self) -> None:
         """Once it has yielded a process is met no more. Its file stays for the successor to replace."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -140,7 +140,7 @@
         self.new.core.hand = self.old.core.hand  # one machine, one clock
         self.new.core.broker._clock._source = lambda: self.old.core.hand.time
         self.arrived: dict[str, tuple[str, float]] = {}
-        self.linked = self.told = False
+        self.linked = self.told = self.synced = False
         self.snapshot: Iterator[bytes] = iter(())
         self.numbers = itertools.count()
         self.old.accepts = True
@@ -180,8 +180,11 @@
     def flows(self, all: bool, count: int) -> None:
         """Frames go over, one at a time in both directions; or all there are, as they mostly do."""
         for _ in range(200 if all else count):
-            for data in itertools.islice(self.snapshot, int(self.old.alive)):
+            if self.old.alive and (data := next(self.snapshot, None)) is not None:
                 self.old.send(data)
+            elif self.old.alive and not self.old.own and not self.synced:
+                self.synced = True
+                self.old.dialogue.synced()
             for reader, writer in ((self.new, self.old), (self.old, self.new)):
                 if reader.alive and writer.kernel:
                     reader.dialogue.hear(_one(writer.kernel.popleft()))
@@ -268,6 +271,21 @@
 TestPair.settings = settings(STEPS, max_examples=150, stateful_step_count=40)
 
 
+@pytest.mark.parametrize("stage,sent,runs", [
+    (Stage.OWNER, True, True), (Stage.OWNER, False, False), (Stage.OWNER, None, True), (Stage.TELLING, None, True),
+    (Stage.YIELDED, None, False)])
+def test_a_key_runs_only_where_the_other_hears_of_it_or_runs_none(stage: Stage, sent: bool | None, runs: bool) -> None:
+    """`sent` None: the link has just ended, and the process is not told yet."""
+    process = Process()
+    process.dialogue.succession.stage, process.dialogue.send = Stage.OWNER, lambda data: True
+    process.core.broker.elsewhere(10**6, 0.0)  # held for want of room
+    process.core.pick("a", "work-order", key="k", wait=5.0)
+    process.dialogue.succession.stage, process.dialogue.send = stage, lambda data: sent
+    process.core.broker.elsewhere(0, 0.0)
+    process.core.pass_time(0.2)
+    assert process.core.ports.ids("exec") == ["a"] * runs and process.core.words("a") == ["refused"] * (not runs)
+
+
 def test_what_was_learned_goes_over_and_nonsense_does_not() -> None:
     teacher, pupil = Core(), Core()
     for number in range(40):
