Reports to the control plane are spread; tests of stopped and foreign processes

Cause or need: nodes that lose the control plane together reported in step; a stopped successor, a process of another version and a silent control plane had no test with real processes.

--- a/chutepin/net/control.py
+++ b/chutepin/net/control.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable
 
 import h11
@@ -11,7 +12,8 @@
 from ..config import Address
 from ..ops import Counters
 
-EVERY = 1.0  # seconds; a node is dropped 3 s after its last report
+EVERY = 1.0  # seconds at most; a node is dropped 3 s after its last report
+SPREAD = 0.2  # part of it by which a report may come sooner, so that nodes which lost the service together spread
 ANSWER_BY = 1.0  # seconds after its start at which a report is given up
 MAX_ANSWER = 16 * 1024
 
@@ -20,7 +22,8 @@
     """Keeps the node listed: `Ready` while it is well and takes requests."""
 
     def __init__(self, address: Address | None, name: str, ready: Callable[[], bool],
-                 counters: Counters) -> None:
+                 counters: Counters, seed: int = 0) -> None:
+        self._chance = random.Random(seed)
         self._address, self._name, self._ready, self._counters = address, name, ready, counters
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._http = h11.Connection(h11.CLIENT)
@@ -46,7 +49,8 @@
             except (OSError, TimeoutError, h11.ProtocolError, EOFError):
                 self._counters.add("control.failed")
                 self._close()
-            await asyncio.sleep(max(0.0, began + EVERY - loop.time()))
+            wait = EVERY * (1 - SPREAD * self._chance.random())
+            await asyncio.sleep(max(0.0, began + wait - loop.time()))
 
     async def _report(self, address: Address) -> int:
         if self._streams is None:
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -158,7 +158,8 @@
             self.handover = Handover(path, dialogue, lambda: self.front.listeners, self.clock, self.counters, self.log)
             self.handover.serves = self._serve
         self._serving = False
-        self.reporter = Reporter(config.control, config.name, self._ready, self.counters)
+        self.reporter = Reporter(config.control, config.name, self._ready, self.counters,
+                                 config.seed)
         self._told = asyncio.Event()
 
     def print_counters(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -25,7 +25,7 @@
 from chutepin.handover.frames import Frames, frame, key_entry, key_frame
 from chutepin.handover.link import answers
 from chutepin.keys import Entry, Standing
-from chutepin.lab.standins import PATIENCE, Balancer, eventually
+from chutepin.lab.standins import PATIENCE, Balancer, eventually, free_port
 from chutepin.net.lines import ProtocolError
 
 from .helper import STEPS, WINDOW, Core, Standins
@@ -516,3 +516,61 @@
             link.close()
 
     upgrade(test)
+
+
+def test_a_stopped_successor_costs_no_safe_request_and_the_old_one_ends_in_time() -> None:
+    async def test(old: Standins, new: Standins, stack: AsyncExitStack) -> None:
+        held = await old.connect()
+        await new.start(stack, ops=True)
+        await ready(new)
+        assert old.process is not None and new.process is not None
+        new.process.send_signal(signal.SIGSTOP)
+        try:
+            tags = [held.call("position-push", b"safe"), held.call("work-order", b"order", "ab" * 16)]
+            words = [(await held.answer(tag))[0] for tag in tags]
+            assert words == [b"OK", b"BUSY"] and not [cls for _, cls, _ in old.runs if cls == "work-order"]
+            begun = asyncio.get_running_loop().time()
+            assert "keys.not_granted=1" in await old.leave()
+            assert asyncio.get_running_loop().time() - begun < 5.0
+        finally:
+            new.process.send_signal(signal.SIGCONT)
+        balancer = await new.connect()
+        assert (await balancer.answer(balancer.call("work-order", b"order", "ab" * 16)))[0] == b"OK"
+        await balancer.close()
+        await held.close()
+
+    upgrade(test)
+
+
+def test_beside_a_process_of_another_version_unknown_keys_are_failed_until_a_window_after_its_end() -> None:
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            world = Standins()
+            world.environ = {"TMPDIR": stack.enter_context(tempfile.TemporaryDirectory())}
+            world.listen_port = await free_port()
+            path = meeting_place(world.environ["TMPDIR"], "n3", f"127.0.0.1:{world.listen_port}")
+
+            async def refuse(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                if await reader.read(100):
+                    writer.write(frame("NO", why="another version", version=99))
+                writer.close()
+
+            other = await asyncio.start_unix_server(refuse, path)
+            await world.start(stack, ops=True)
+            await ready(world)
+            balancer = await world.connect()
+
+            async def order(number: int) -> bytes:
+                return (await balancer.answer(balancer.call("work-order", b"order", f"{number:032x}")))[0]
+
+            assert (await balancer.answer(balancer.call("position-push", b"safe")))[0] == b"OK"
+            assert await order(0) == b"FAILED"
+            other.close()
+            numbers = itertools.count(1)
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + PATIENCE):
+                while await order(next(numbers)) != b"OK":
+                    await asyncio.sleep(0.1)
+            assert next(numbers) > 10  # not before the window was over
+            await balancer.close()
+
+    asyncio.run(run())
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from contextlib import AsyncExitStack
 
 import pytest
@@ -13,7 +14,9 @@
 from chutepin.admin.exposition import exposition
 from chutepin.admin.lines import MAX_LINE, LineError, LineReader
 from chutepin.figures import Figures
+from chutepin.lab.standins import eventually
 from chutepin.lifecycle import TABLE, Lifecycle, Move, State
+from chutepin.net.control import EVERY, SPREAD
 from chutepin.net.resp import array
 
 from .helper import STEPS, Core, Standins
@@ -180,3 +183,39 @@
         await balancer.close()
 
     on_sockets(test)
+
+
+def test_a_control_plane_that_is_down_holds_nothing_up_and_is_told_when_it_is_back() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        silent: list[asyncio.StreamWriter] = []
+
+        async def mute(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            silent.append(writer)
+
+        await world.start(stack, ops=True)
+        await eventually(lambda: world.reports)
+        config = json.loads(world.path.read_text())
+        down = await asyncio.start_server(mute, "127.0.0.1", 0)
+        port = down.sockets[0].getsockname()[1]
+        world.path.write_text(json.dumps(config | {"control": f"127.0.0.1:{port}"}))
+        world.hang_up()
+        await eventually(lambda: len(silent) >= 2)  # each report that is not answered costs itself alone
+        balancer = await world.connect()
+        assert (await balancer.answer(balancer.call("status-read", b"meanwhile")))[0] == b"OK"
+        assert (await call(world, b"ready\n")).startswith("SUCCESS")
+        down.close()
+        for writer in silent:
+            writer.close()
+        tried = asyncio.get_running_loop().time()
+        await asyncio.sleep(2.5)
+        up = await asyncio.start_server(world._control_side, "127.0.0.1", port)
+        reports = len(world.reports)
+        await eventually(lambda: len(world.reports) > reports)
+        log = await world.leave()
+        failed = int(log.split("control.failed=")[1].split()[0])
+        lasted = asyncio.get_running_loop().time() - tried
+        assert 2 <= failed - len(silent) + 1 <= lasted / (EVERY * (1 - SPREAD)) + 2
+        up.close()
+        await balancer.close()
+
+    on_sockets(test)
