Test of a drain under load: the checks change, nothing else does

Ruled out: that late requests, runs or connections feel the drain: 90 keyed requests over drain and resume.

--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -219,3 +219,28 @@
         await balancer.close()
 
     on_sockets(test)
+
+
+def test_a_drain_under_load_changes_the_checks_alone() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        await world.start(stack, ops=True)
+        balancers = [await world.connect() for _ in range(4)]
+        asked, checks = [], []
+        for turn in range(90):
+            balancer = balancers[turn % 4]
+            asked.append((balancer, balancer.call("work-order", b"order %d" % turn, f"{turn:032x}")))
+            if turn in (30, 60):
+                assert (await call(world, b"drain\n" if turn == 30 else b"resume\n")).startswith("SUCCESS")
+            balancer.writer.write(array(b"RPC.HEALTH", b"%d" % (1000 + turn), b""))
+            checks.append((await balancer.answer(1000 + turn))[0])
+        assert checks == [b"UP"] * 30 + [b"DOWN"] * 30 + [b"UP"] * 30
+        answers = [(await balancer.answer(tag))[0] for balancer, tag in asked]
+        assert answers == [b"OK"] * 90 and len(world.runs) == 90
+        assert not any(0 in balancer.answers for balancer in balancers), "a drain by call says no farewell"
+        text = await call(world, b"show-stat\n")
+        assert 'node_transactions_total{group="work-order",state="answered"} 90\n' in text
+        assert "node_sends_total 90\n" in text and "node_current 0\n" in text
+        for balancer in balancers:
+            await balancer.close()
+
+    on_sockets(test)
