A key granted by the other process keeps its whole time; a yielded process stays findable

A keyed request that had asked the other process was failed 0.5 s later though it ran well: the look meant for the asking stayed in the heap. A test for the first (it failed before); the races have none.

--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -138,6 +138,7 @@
     notice: int = 0
     call_body: bytes = b""
     call_since: float = 0.0
+    late_at: float = 0.0  # when the core itself answers; an earlier look in the heap of dues means nothing any more
 
 
 class Broker:
@@ -259,6 +260,7 @@
 
     def _due_at(self, id: str, at: float) -> None:
         """Look then whether a request still lacks its answer."""
+        self._attempts[id].late_at = at
         heapq.heappush(self._dues, (at, id))
         if len(self._dues) > 2 * len(self._attempts) + MAX_REQUESTS:  # most are answered long before
             self._dues = [due for due in self._dues if due[1] in self._attempts]
@@ -454,10 +456,13 @@
         late = []
         while self._dues and self._dues[0][0] <= now:
             late.append(heapq.heappop(self._dues)[1])
-        if self._drain_stop is not None and now >= self._drain_stop + OVERDUE / 2:
+        stopping = self._drain_stop is not None and now >= self._drain_stop + OVERDUE / 2
+        if stopping:
             late += list(self._attempts)
         for id in late:
             attempt = self._attempts.get(id)
+            if attempt is not None and attempt.late_at > now and not stopping:
+                continue
             if attempt is not None and attempt.phase is Phase.ASKING:
                 self._counters.add("keys.not_granted")
                 self._answer(attempt, Answer(Verdict.REFUSED, value=self._value))
--- a/chutepin/handover/link.py
+++ b/chutepin/handover/link.py
@@ -134,6 +134,9 @@
     async def _listen(self) -> None:
         """Be found at the meeting place, in place of whoever was before."""
         fresh = f"{self._path}.{os.getpid()}"
+        if self._server is not None:
+            self._server.close()
+            self._server = None
         try:
             with contextlib.suppress(FileNotFoundError):
                 os.unlink(fresh)
@@ -147,11 +150,18 @@
         except OSError as error:  # the node serves without: the next upgrade will not find it
             self._log.event("handover.no_meeting_place", why=error.strerror or str(error))
 
+    def _found(self) -> bool:
+        """The file at the meeting place is this process's."""
+        try:
+            return self._server is not None and os.stat(self._path).st_ino == self._place
+        except OSError:
+            return False
+
     def _forget_place(self) -> None:
         """Be found no more. The file goes unless another process has put its own there."""
         if self._server is not None:
-            with contextlib.suppress(OSError):
-                if os.stat(self._path).st_ino == self._place:
+            if self._found():
+                with contextlib.suppress(OSError):
                     os.unlink(self._path)
             self._server.close()
             self._server = None
@@ -262,7 +272,6 @@
                 while (message := frames.next()) is not None:
                     if mine:
                         self.dialogue.hear(message)
-                        self._yielded()
                     elif not (mine := self._hello(message, writer)):
                         return
         except (OSError, ProtocolError) as error:
@@ -303,18 +312,15 @@
                     await writer.drain()
             while writer.transport.get_write_buffer_size() and not writer.transport.is_closing():
                 await asyncio.sleep(TAKEN)
-            self.dialogue.synced()
-
-    def _yielded(self) -> None:
-        """Once it has yielded a process is met no more. Its file stays for the successor to replace."""
-        if self._stage is Stage.YIELDED and self._server is not None:
-            self._server.close()
-            self._server = None
+            if self._writer is writer:  # not of a successor that came after the one that this was for
+                self.dialogue.synced()
 
     async def _left(self) -> None:
         """The link to the successor is gone."""
         self._writer = None
-        self.dialogue.left(answers(self._path), self._clock.now() - self._turn)
+        # A process that has yielded still answers there, lest a successor that did not hear of it takes it for dead;
+        # who serves in its place has put its own file there.
+        self.dialogue.left(not self._found() and answers(self._path), self._clock.now() - self._turn)
         self._log.event("handover.successor_gone", stage=self._stage.value)
-        if self._stage is Stage.ALONE and self._server is None:
+        if self._stage is Stage.ALONE and not self._found():
             await self._listen()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -286,6 +286,18 @@
     assert process.core.ports.ids("exec") == ["a"] * runs and process.core.words("a") == ["refused"] * (not runs)
 
 
+def test_a_granted_key_has_all_its_time() -> None:
+    process = Process()
+    process.dialogue.succession.stage, process.dialogue.send = Stage.YIELDED, lambda data: True
+    process.core.pick("a", "work-order", key="k", wait=5.0)
+    assert not process.core.ports.ids("exec")
+    process.granted("a", "k", True)
+    process.core.pass_time(1.5)  # past the time by which the other process had to answer
+    assert process.core.ports.ids("exec") == ["a"] and not process.core.words("a")
+    process.core.end("a")
+    assert process.core.words("a") == ["served"]
+
+
 def test_what_was_learned_goes_over_and_nonsense_does_not() -> None:
     teacher, pupil = Core(), Core()
     for number in range(40):
