Detector, view and frames of membership as pure text, with a simulator and invariants

Cause or need: issue of membership; decisions must run alike in the node and on virtual time. Ruled out: timers compared with the soonest thing due at the moment of waking; a queue that had just filled made every tick look late, so lateness is measured against what the driver was told. Change: chutepin/cluster/ without its edge; lab/faults, history, invariants, simulator. Not yet in the node.

--- /dev/null
+++ b/chutepin/cluster/messages.py
@@ -0,0 +1,81 @@
+"""What members say to each other, as data. `frames` writes and reads it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from .records import Record, Update
+
+
+class Ping(NamedTuple):
+    """Answer me. `via`: the member that asked the sender to find out, and the nonce of its own ping."""
+
+    nonce: int
+    via: str = ""
+    asked: int = 0
+
+
+class Ack(NamedTuple):
+    """The answer to a ping. `heard`: milliseconds since the answerer last heard the one who wants to know (the pinger, or
+    the one that asked it to) directly; -1 if not lately."""
+
+    nonce: int
+    heard: int
+
+
+class PingReq(NamedTuple):
+    """Find out for me whether `subject` answers."""
+
+    nonce: int
+    subject: str
+
+
+class Found(NamedTuple):
+    """The answer to a PingReq: `subject` answered, or (`answered` false) did not in time. `heard` as in Ack."""
+
+    nonce: int
+    subject: str
+    answered: bool
+    heard: int
+
+
+class Gossip(NamedTuple):
+    """Nothing but updates; not answered."""
+
+
+class Sync(NamedTuple):
+    """All that the sender knows stands in the updates. `ask`: tell me yours. `joined`: some member has taken the sender
+    in before. Over TCP only."""
+
+    ask: bool
+    joined: bool
+
+
+class Refuse(NamedTuple):
+    """The sender's name is held by another process that lives: the one update tells which. Over TCP only."""
+
+
+class Stale(NamedTuple):
+    """What came from you was said in an earlier life than the one known here."""
+
+    life: int
+
+
+Body = Ping | Ack | PingReq | Found | Gossip | Sync | Refuse | Stale
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """One message with what every message carries.
+
+    `me` is the sender's own record. `life` numbers the processes of the sender's name, `number` the packets of one life.
+    `digest` is that of the sender's view."""
+
+    to: str
+    me: Record
+    life: int
+    number: int
+    digest: int
+    body: Body
+    updates: tuple[Update, ...] = ()
--- /dev/null
+++ b/chutepin/cluster/records.py
@@ -0,0 +1,84 @@
+"""What members tell of each other, and which of two records holds. Pure.
+
+It knows nothing of time, sockets or how a record is written."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+MAX_NAME = 64  # characters of a member's name, an address, a region, a zone
+MAX_LINKS = 16  # bad links that one member tells of; it counts those beyond
+MAX_NUMBER = 2**63 - 1  # of an incarnation
+
+
+class Status(IntEnum):
+    """What a member is held for. At one incarnation the greater one holds."""
+
+    ALIVE = 0
+    SUSPECT = 1  # a probe failed; it may refute that
+    DEAD = 2  # it did not
+    LEFT = 3  # it said so itself
+
+
+LIVE = frozenset({Status.ALIVE, Status.SUSPECT})
+
+
+class Record(NamedTuple):
+    """One member, as told. `by` is who says so: the accuser, the declarer, else the member itself."""
+
+    name: str
+    address: str  # host:port that the member tells
+    region: str
+    zone: str
+    incarnation: int
+    status: Status
+    by: str
+
+    @property
+    def live(self) -> bool:
+        """Neither dead nor gone in order."""
+        return self.status in LIVE
+
+
+class BadLink(NamedTuple):
+    """`target` lately does not hear `source`. `age`: milliseconds since when."""
+
+    source: str
+    target: str
+    age: int
+
+
+class Links(NamedTuple):
+    """All bad links that one member tells of now. Of two of one reporter the later (life, version) holds."""
+
+    reporter: str
+    life: int
+    version: int
+    bad: tuple[BadLink, ...]
+
+
+Update = Record | Links
+
+
+class Claim(IntEnum):
+    """What becomes of a record that was told."""
+
+    NEW = 1  # it holds from now on
+    KNOWN = 2  # it says what is known
+    STALE = 3  # what is known is newer: the teller should hear that
+    HELD = 4  # the name is another process's: the teller's record is refused
+
+
+def judge(new: Record, old: Record) -> Claim:
+    """Which of two records of one name holds; the table is in docs/membership.md."""
+    if new.address != old.address:
+        if new.live and old.live:
+            return Claim.NEW if new.incarnation < old.incarnation else Claim.HELD
+        if not new.live and old.live:
+            return Claim.KNOWN
+        return Claim.NEW if new.incarnation > old.incarnation else Claim.STALE
+    mine, known = (new.incarnation, new.status), (old.incarnation, old.status)
+    if mine > known:
+        return Claim.NEW
+    return Claim.KNOWN if mine == known else Claim.STALE
--- /dev/null
+++ b/chutepin/config/cluster.py
@@ -0,0 +1,83 @@
+"""The block `cluster` of the operator's file. Loaded only where the block is there."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .operator import TIME, Check, Many, count, quantity, text
+from .platform import Address, ConfigError, address
+
+MAX_NAME = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterSetup:
+    """Who this node is among others, and the times of failure detection, in seconds."""
+
+    name: str
+    region: str
+    zone: str
+    listen: Address  # UDP and TCP; also what the member tells the others
+    seeds: tuple[tuple[str, str], ...] = ()  # (member, address) to join by
+    reach: tuple[tuple[str, str], ...] = ()  # (member, address) that this node dials in place of the told one
+    probe_every: float = 0.5
+    probe_timeout: float = 0.2  # for the direct answer; helpers have until the next probe
+    helpers: int = 3
+    gossip_every: float = 0.1
+    gossip_to: int = 3
+    suspect_least: float = 1.2  # with all witnesses; grows with the logarithm of the number of members
+    suspect_most: int = 6  # times that, without any
+    alone: float = 15.0  # how long a member that gets no answer at all waits before it believes that all have gone
+    link_every: float = 2.0  # between looks at a bad link
+    sync_every: float = 5.0  # between exchanges of whole states, where views differ
+    join_every: float = 1.0  # between tries at a seed, and at a dead member
+    remember: float = 86400.0  # the dead
+    members: int = 1024  # names, the dead included
+
+
+def _name(raw: Any, name: str) -> str:
+    word = text(raw, name)
+    if len(word) > MAX_NAME or " " in word or "=" in word or not word.isprintable():
+        raise ConfigError(f"{name}: not a word of up to {MAX_NAME} characters")
+    return word
+
+
+def _listen(raw: Any, name: str) -> Address:
+    return address(raw, name)
+
+
+def _peer(raw: Any, name: str) -> tuple[str, str]:
+    """`member=host:port`."""
+    member, equals, where = text(raw, name).partition("=")
+    if not equals:
+        raise ConfigError(f"{name}: {raw} is not of the form member=host:port")
+    found = address(where, name)
+    return _name(member, name), f"{found.host}:{found.port}"
+
+
+KNOWN: Mapping[str, Check | Many] = {
+    "name": _name, "region": _name, "zone": _name, "listen": _listen, "seeds": Many(_peer), "reach": Many(_peer),
+    "probe-every": quantity(TIME, 0.05, 60.0), "probe-timeout": quantity(TIME, 0.01, 30.0),
+    "helpers": count("members", 1, 16), "gossip-every": quantity(TIME, 0.01, 10.0),
+    "gossip-to": count("members", 1, 16), "suspect-least": quantity(TIME, 0.1, 300.0),
+    "suspect-most": count("times", 1, 100), "alone": quantity(TIME, 0.1, 3600.0),
+    "link-every": quantity(TIME, 0.1, 300.0), "sync-every": quantity(TIME, 0.1, 3600.0),
+    "join-every": quantity(TIME, 0.05, 300.0), "remember": quantity(TIME, 1.0, 30 * 86400.0),
+    "members": count("members", 2, 4096)}
+
+
+def cluster_setup(values: dict[str, Any]) -> ClusterSetup:
+    """The block's values, whole. Raises ConfigError."""
+    for name in ("name", "region", "zone", "listen"):
+        if name not in values:
+            raise ConfigError(f"cluster.{name}: missing")
+    setup = ClusterSetup(**{name.replace("-", "_"): value for name, value in values.items()})
+    if setup.probe_timeout * 2 > setup.probe_every:
+        raise ConfigError("cluster.probe-timeout: more than half of cluster.probe-every")
+    for field in ("seeds", "reach"):
+        names = [member for member, _ in getattr(setup, field)]
+        if len(names) != len(set(names)):
+            raise ConfigError(f"cluster.{field}: a member stands there twice")
+    return setup
--- /dev/null
+++ b/chutepin/lab/history.py
@@ -0,0 +1,128 @@
+"""A history: what was seen of members from outside, with time and member; and what was done to them.
+
+The simulator and the fault rig write the same kinds of entries, so the invariants are one text for both."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from .faults import Fault, Schedule
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A member said that something happened to another one, or to itself (its log, word for word)."""
+
+    at: float
+    member: str
+    what: str  # suspect, confirmed, refuted, withdrawn, dead, left, joined, returned, moved, refused, link_bad, …
+    subject: str
+    by: str = ""
+    incarnation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """What a member showed to operators: of each member its state and incarnation, and the bad links."""
+
+    at: float
+    member: str
+    states: tuple[tuple[str, str, int], ...]
+    links: tuple[tuple[str, str], ...]
+
+    def state(self, name: str) -> str:
+        """alive, suspect, dead, left, or unknown."""
+        return next((state for other, state, _ in self.states if other == name), "unknown")
+
+
+@dataclass(slots=True)
+class History:
+    """All that was done and seen, in order of time, and the traffic that it took."""
+
+    schedule: Schedule
+    done: list[Fault] = field(default_factory=list)
+    seen: list[Seen] = field(default_factory=list)
+    shown: list[Shown] = field(default_factory=list)
+    packets: int = 0  # datagrams of all members
+    bytes: int = 0
+    repeats: int = 0  # how often one update was told on by one member, at the most
+    longest: int = 0  # bytes of a datagram
+
+    def last(self, member: str) -> Shown | None:
+        """What a member showed last."""
+        return next((shown for shown in reversed(self.shown) if shown.member == member), None)
+
+    def lines(self) -> Iterator[str]:
+        """One line of JSON for each entry."""
+        for fault in self.done:
+            yield json.dumps(["done", round(fault.at, 4), fault.what, fault.members, fault.value, fault.groups])
+        for seen in self.seen:
+            yield json.dumps(["seen", round(seen.at, 4), seen.member, seen.what, seen.subject, seen.by, seen.incarnation])
+        for shown in self.shown:
+            yield json.dumps(["shown", round(shown.at, 4), shown.member, shown.states, shown.links])
+
+    def text(self) -> str:
+        """The whole history: of one seed the same, byte for byte, in the simulator."""
+        return "\n".join(self.lines()) + "\n"
+
+
+class Truth:
+    """What was so, by what was done: who ran, who could speak to whom."""
+
+    def __init__(self, schedule: Schedule) -> None:
+        self._names = schedule.names()
+        self.up = set(self._names)
+        self.stopped: set[str] = set()
+        self.slow: dict[str, float] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = self.delay = self.duplicate = 0.0
+
+    def do(self, fault: Fault) -> None:
+        """Something is done."""
+        some = set(fault.members)
+        match fault.what:
+            case "crash" | "leave":
+                self.up -= some
+                self.stopped -= some
+                for name in some:
+                    self.slow.pop(name, None)
+            case "restart":
+                self.up |= some
+            case "stop":
+                self.stopped |= some & self.up
+            case "wake":
+                self.stopped -= some
+            case "slow":
+                for name in some:
+                    self.slow[name] = fault.value
+                    if not fault.value:
+                        del self.slow[name]
+            case "loss":
+                self.loss = fault.value
+            case "delay":
+                self.delay = fault.value
+            case "duplicate":
+                self.duplicate = fault.value
+            case "cut":
+                self.cuts |= {(fault.members[0], other) for other in fault.members[1:]}
+            case "mend":
+                self.cuts -= {(fault.members[0], other) for other in fault.members[1:]}
+            case "heal":
+                self.cuts.clear()
+            case "split":
+                side = {name: number for number, group in enumerate(fault.groups) for name in group}
+                self.cuts |= {(a, b) for a in self._names for b in self._names if a != b
+                              and side.get(a) != side.get(b)}
+            case _:
+                pass
+
+    def round_trip(self, a: str, b: str) -> bool:
+        """a and b run and can ask and answer each other directly."""
+        return {a, b} <= self.up and not {a, b} & self.stopped and not {(a, b), (b, a)} & self.cuts
+
+    def reaches(self, a: str) -> set[str]:
+        """Who can be asked by a, directly or through one helper."""
+        direct = {b for b in self._names if b != a and self.round_trip(a, b)}
+        return direct | {c for b in direct for c in self._names if c != a and self.round_trip(b, c)}
