Membership in the node: block cluster, transport, operators' calls; off without the block

Cause or need: the pure detector needs an edge and a place in the node. Ruled out: naming the cluster in node.py: a list of subsystems of one shape is put together in subsystem.py, loaded only where their block is there; msgspec (5.2 MB). Change: config/cluster.py, cluster/transport, subsystem, incarnation; sockets go to a successor and come back; calls members, links, changes, view.

--- a/chutepin/admin/calls.py
+++ b/chutepin/admin/calls.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ..figures import Figures
 from ..lifecycle import Lifecycle, Move
 from .exposition import exposition
 
+CLUSTER = ("members", "links", "changes", "view")  # calls of the cluster, where there is one
+
 
 def success(text: str = "") -> str:
     """An answer that the call was carried out."""
@@ -22,10 +24,13 @@
 class Calls:
     """The calls of one process."""
 
-    def __init__(self, lifecycle: Lifecycle, figures: Figures) -> None:
+    def __init__(self, lifecycle: Lifecycle, figures: Figures,
+                 more: Mapping[str, Callable[[], str]] | None = None) -> None:
+        """`more`: calls of subsystems that the operator's file has switched on."""
         self._lifecycle, self._figures = lifecycle, figures
         self.table: dict[str, Callable[[], str]] = {
             "ready": self._ready, "show-stat": self._show_stat, "drain": self._drain, "resume": self._resume}
+        self.table |= {name: lambda: failure("no cluster") for name in CLUSTER} | dict(more or {})
 
     def answer(self, line: str) -> str:
         """The whole answer to a line. Calls take no arguments; every call in every state has an answer."""
--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -199,27 +199,12 @@
     def receive(self, now: float, packet: Packet, stream: bool = False) -> None:
         """Take in a packet; `stream`: it came over TCP, so that it may be answered with `Answer`."""
         self._catch_up(now)
-        view, sender, body = self.view, packet.me.name, packet.body
-        view.counts["received"] += 1
-        if packet.to and packet.to != view.me.name:
-            view.counts["drop.misdirected"] += 1
-            return
-        if sender == view.me.name:
-            self._namesake(packet)
-            return
-        if isinstance(body, Refuse):
-            self._refused(packet)
-            return
-        if view.refused_by is not None and not isinstance(body, Sync):
-            view.counts["drop.refused"] += 1
+        self.view.counts["received"] += 1
+        if not self._is_for_me(packet):
             return
+        view, sender, body = self.view, packet.me.name, packet.body
         member = view.table.members.get(sender)
-        if member is not None and self._over(now, member, packet, stream):
-            return
-        if self._conflicts(member, packet):
-            if isinstance(body, Sync) and body.ask and member is not None:
-                self._effects.append(Answer(self._packet(sender, Refuse(), [member.record], stream=True)))
-            view.counts["drop.name_taken"] += 1
+        if member is not None and (self._over(now, member, packet, stream) or self._conflicts(member, packet)):
             return
         claim = view.take(now, packet.me)
         member = view.table.members.get(sender)
@@ -240,6 +225,20 @@
             member.heard = now
         self._body(now, packet, member, heard, believed)
 
+    def _is_for_me(self, packet: Packet) -> bool:
+        """Neither astray, nor of another process of this name, nor the word that this one is refused."""
+        if packet.to and packet.to != self.me.name:
+            self.view.counts["drop.misdirected"] += 1
+        elif packet.me.name == self.me.name:
+            self._namesake(packet)
+        elif isinstance(packet.body, Refuse):
+            self._refused(packet)
+        elif self.view.refused_by is not None and not isinstance(packet.body, Sync):
+            self.view.counts["drop.refused"] += 1
+        else:
+            return True
+        return False
+
     def _over(self, now: float, member: Member, packet: Packet, stream: bool) -> bool:
         """The packet is of a process that another one of the same name has followed. It may be a restart with a clock
         that was set back, so it is told, at most once a second."""
@@ -254,13 +253,19 @@
             self._send(member.record.name, notice)
         return True
 
-    def _conflicts(self, member: Member | None, packet: Packet) -> bool:
+    def _conflicts(self, member: Member, packet: Packet) -> bool:
         """The sender's name is held by another process that lives. Of two that the two sides of a cut had taken in the
         earlier one holds it; who was not taken in yet holds nothing."""
-        if member is None or not member.record.live or member.record.address == packet.me.address:
+        body = packet.body
+        if not member.record.live or member.record.address == packet.me.address:
             return False
-        joined = not isinstance(packet.body, Sync) or packet.body.joined
-        return not joined or packet.me.incarnation >= member.record.incarnation
+        joined = not isinstance(body, Sync) or body.joined
+        if joined and packet.me.incarnation < member.record.incarnation:
+            return False
+        if isinstance(body, Sync) and body.ask:
+            self._effects.append(Answer(self._packet(member.record.name, Refuse(), [member.record], stream=True)))
+        self.view.counts["drop.name_taken"] += 1
+        return True
 
     def _namesake(self, packet: Packet) -> None:
         """The sender has this member's name. One at the same address is its other process, in an upgrade."""
@@ -283,7 +288,8 @@
     def _take_updates(self, now: float, packet: Packet, sender: str, believed: bool) -> None:
         """What the sender tells. Of one that is held for dead only what it tells about this member counts: that can be
         refuted, and so two sides of a cut come together."""
-        view, better = self.view, []
+        view = self.view
+        better: list[Record] = []
         sync = isinstance(packet.body, Sync)
         for update in packet.updates:
             if isinstance(update, Record) and (update.name == view.me.name or believed):
@@ -576,17 +582,12 @@
         """Probes, relays, accusations and looks whose time has come."""
         for probe in list(self._probes.values()):
             if not probe.helped and now >= probe.helpers_at:
-                probe.helped = True
-                if probe.why is not Why.BACK:
-                    self._ask_helpers(probe)
+                self._ask_helpers(probe)
             if now >= probe.end:
                 self._ended(now, probe)
         for nonce, relay in list(self._relays.items()):
             if now >= relay.end:
-                del self._relays[nonce]
-                member = self.view.table.members.get(relay.subject)
-                self._send(relay.asker, Found(relay.asked, relay.subject, False, -1),
-                           [member.record] if member is not None else [])
+                self._relay_ended(nonce, relay)
         for accusation in list(self._accusations.values()):
             if now >= accusation.next:
                 self._hold(now, accusation)
@@ -594,8 +595,18 @@
             if now >= look.next:
                 self._look_on(now, look)
 
+    def _relay_ended(self, nonce: int, relay: Relay) -> None:
+        """Who was asked for another member did not answer. Saying so tells that member that its helper is well."""
+        del self._relays[nonce]
+        member = self.view.table.members.get(relay.subject)
+        self._send(relay.asker, Found(relay.asked, relay.subject, False, -1),
+                   [member.record] if member is not None else [])
+
     def _ask_helpers(self, probe: Probe) -> None:
         """Ask others to ask; with what stands against the subject, so that they can put it right."""
+        probe.helped = True
+        if probe.why is Why.BACK:
+            return
         record = self.view.table.members[probe.subject].record
         helpers = self._helpers(probe.subject)
         probe.helpers = len(helpers)
--- a/chutepin/cluster/frames.py
+++ b/chutepin/cluster/frames.py
@@ -50,7 +50,7 @@
     body = packet.body
     content = msgpack.packb([packet.to, packet.me, packet.life, packet.number, packet.digest, BODIES.index(type(body)),
                              body, [_plain(update) for update in packet.updates]])
-    return _HEAD.pack(_MARK, VERSION, cluster, zlib.crc32(content)) + content
+    return bytes(_HEAD.pack(_MARK, VERSION, cluster, zlib.crc32(content)) + content)
 
 
 def decode(data: bytes, cluster: bytes, stream: bool) -> Packet:
--- a/chutepin/cluster/gossip.py
+++ b/chutepin/cluster/gossip.py
@@ -1,7 +1,7 @@
 """What is to be told on, and how often yet. Pure.
 
-One update for each subject: a newer one takes the place of an older one. Each is told a bounded number of times, those told
-least first, so that news overtakes what all have heard."""
+One update for each subject: a newer one takes the place of an older one. Each is told a bounded number of times, those
+told least first, so that news overtakes what all have heard."""
 
 from __future__ import annotations
 
--- a/chutepin/cluster/messages.py
+++ b/chutepin/cluster/messages.py
@@ -17,8 +17,8 @@
 
 
 class Ack(NamedTuple):
-    """The answer to a ping. `heard`: milliseconds since the answerer last heard the one who wants to know (the pinger, or
-    the one that asked it to) directly; -1 if not lately."""
+    """The answer to a ping. `heard`: milliseconds since the answerer last heard the one who wants to know (the pinger,
+    or the one that asked it to) directly; -1 if not lately."""
 
     nonce: int
     heard: int
@@ -69,8 +69,8 @@
 class Packet:
     """One message with what every message carries.
 
-    `me` is the sender's own record. `life` numbers the processes of the sender's name, `number` the packets of one life.
-    `digest` is that of the sender's view."""
+    `me` is the sender's own record. `life` numbers the processes of the sender's name, `number` the packets of one
+    life. `digest` is that of the sender's view."""
 
     to: str
     me: Record
--- /dev/null
+++ b/chutepin/cluster/subsystem.py
@@ -0,0 +1,209 @@
+"""Membership put together for a node: the detector, its transport, its timer, and what operators see of it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+from ..admission import Ledger
+from ..config.cluster import ClusterSetup
+from ..ops import Counters, Log
+from .detector import Answer, Detector, Effect, Send
+from .incarnation import Incarnations
+from .messages import Packet
+from .records import Record, Status
+from .transport import Transport
+from .view import Persist, Tell
+
+if TYPE_CHECKING:
+    from ..store import Store
+
+CHANGES = 512  # that operators can still ask for
+AGAIN = 1.0  # seconds between tries at an address that another process of this node still holds
+FIELDS = ("by", "was", "source", "target", "holder", "hears", "known", "address")  # of a change, in this order
+
+
+class Cluster:
+    """This node's part in the cluster (`subsystem.Subsystem`)."""
+
+    def __init__(self, setup: ClusterSetup, name: str, seed: int, ledger: Ledger, counters: Counters, log: Log,
+                 store: Store | None) -> None:
+        self._setup, self._name, self._counters, self._log = setup, name, counters, log
+        self._incarnations = Incarnations(name, store)
+        self._detector = Detector(setup, name, self._incarnations.begin(), time.monotonic(), random.Random(seed))
+        self._transport = Transport(setup.name, setup.listen, self._deliver, ledger, counters, log)
+        self._timer: asyncio.TimerHandle | None = None
+        self._at = 0.0
+        self._changes: deque[tuple[int, float, Tell]] = deque(maxlen=CHANGES)
+        self._numbered = 0
+        self._wanted = asyncio.Event()  # the process serves
+        self._active = False  # and takes part
+        self._left = False
+
+    # --- subsystem.Subsystem ---
+
+    def adopt(self, sockets: list[socket.socket]) -> list[socket.socket]:
+        """Take this member's sockets; the rest."""
+        return self._transport.adopt(sockets)
+
+    def sockets(self) -> list[socket.socket]:
+        """For a successor."""
+        return self._transport.sockets()
+
+    def start(self) -> None:
+        """Take part from now on, or as soon as the address is free."""
+        self._wanted.set()
+
+    async def run(self) -> None:
+        """Join, and work until cancelled. An address that another one holds is asked for again."""
+        await self._wanted.wait()
+        told = False
+        while not self._active:
+            try:
+                await self._transport.open()
+                self._active = True
+            except OSError as error:
+                if not told:
+                    told = True
+                    self._log.event("cluster.listen_failed", why=error.strerror or str(error),
+                                    listen=f"{self._setup.listen.host}:{self._setup.listen.port}")
+                await asyncio.sleep(AGAIN)
+        try:
+            self._log.event("cluster.serves", name=self._setup.name, member=self._name,
+                            incarnation=self._detector.me.incarnation)
+            self._tick()
+            await asyncio.Event().wait()
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._transport.close()
+
+    def yields(self) -> None:
+        """The successor speaks for this member from now on."""
+        self._active = False
+        self._transport.pause()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def takes_back(self) -> None:
+        """Speak again, in a life after the successor's."""
+        if not self._wanted.is_set() or self._left:
+            return
+        self._detector.begin_anew(time.monotonic(), time.time_ns() // 1_000_000)
+        asyncio.get_running_loop().create_task(self._reopen()).add_done_callback(lambda task: task.exception())
+
+    async def _reopen(self) -> None:
+        await self._transport.open()
+        self._active = True
+        self._tick()
+
+    def leave(self) -> None:
+        """Say goodbye; what is asked until the process ends is answered."""
+        if self._active and not self._left:
+            self._left = True
+            self._detector.leave(time.monotonic())
+            self._carry_out(self._detector.take())
+
+    def figures(self) -> dict[str, int]:
+        """Counts of the detector."""
+        view, health = self._detector.view, self._detector.health
+        counts = {f"cluster.{name}": count for name, count in sorted(view.counts.items())}
+        return counts | {"cluster.members": view.members, "cluster.health": health.score, "cluster.late": health.late,
+                         "cluster.accused": view.accused, "cluster.no_room": view.table.refused,
+                         "cluster.queue_dropped": view.queue.dropped, "cluster.links_unsaid": view.links.unsaid}
+
+    # --- the loop ---
+
+    def _deliver(self, packet: Packet, stream: bool) -> Packet | None:
+        self._detector.receive(time.monotonic(), packet, stream)
+        return self._carry_out(self._detector.take())
+
+    def _tick(self) -> None:
+        self._timer = None
+        if not self._active:
+            return
+        if self._transport.overrun:  # what was lost in a flood is no evidence against others
+            self._transport.overrun = False
+            self._detector.health.worse()
+        self._detector.tick(time.monotonic())
+        self._carry_out(self._detector.take())
+
+    def _carry_out(self, effects: Iterable[Effect]) -> Packet | None:
+        """Do what the detector wants done; the answer to an exchange, if there is one."""
+        answer = None
+        for effect in effects:
+            match effect:
+                case Send():
+                    self._transport.send(effect)
+                case Answer():
+                    answer = effect.packet
+                case Persist():
+                    self._incarnations.keep(effect.incarnation)
+                case Tell():
+                    self._tell(effect)
+        at = self._detector.wake_at()
+        if self._active and (self._timer is None or at != self._at):
+            if self._timer is not None:
+                self._timer.cancel()
+            loop = asyncio.get_running_loop()
+            self._at, self._timer = at, loop.call_at(loop.time() + max(0.0, at - time.monotonic()), self._tick)
+        return answer
+
+    def _tell(self, tell: Tell) -> None:
+        self._numbered += 1
+        self._changes.append((self._numbered, time.monotonic(), tell))
+        self._log.event(f"cluster.{tell.what}", member=tell.member, **tell.fields)
+
+    # --- operators ---
+
+    def calls(self) -> dict[str, Callable[[], str]]:
+        """What operators may call."""
+        return {"members": self._members, "links": self._links, "changes": self._told, "view": self._view}
+
+    def _records(self) -> list[Record]:
+        view = self._detector.view
+        return sorted([view.me, *(member.record for member in view.table.members.values())])
+
+    def _members(self) -> str:
+        view = self._detector.view
+        if (holder := view.refused_by) is not None:
+            return f"FAILURE refused: the name {self._name} is held by {holder.address}\n"
+        records = self._records()
+        alive = sum(record.status is Status.ALIVE for record in records)
+        lines = [f"{r.name} {r.status.name.lower()} {r.incarnation} {r.region} {r.zone} {r.address}" for r in records]
+        return _answer(f"total {len(records)} alive {alive}", lines)
+
+    def _links(self) -> str:
+        view, now = self._detector.view, time.monotonic()
+        live = {record.name for record in self._records() if record.live}
+        return _answer("", [f"{source} {target} {max(0.0, now - since):.1f}"
+                            for (source, target), since in sorted(view.links.bad(live).items())])
+
+    def _told(self) -> str:
+        """NUMBER AGE-ms WHAT MEMBER INCARNATION and then field=value; the oldest first."""
+        now = time.monotonic()
+        lines = []
+        for number, at, tell in self._changes:
+            fields = " ".join(f"{name}={tell.fields[name]}" for name in FIELDS
+                              if tell.fields.get(name) not in (None, ""))
+            lines.append(f"{number} {1000 * (now - at):.0f} {tell.what} {tell.member} "
+                         f"{tell.fields.get('incarnation', 0)} {fields}".rstrip())
+        return _answer("", lines)
+
+    def _view(self) -> str:
+        view, detector = self._detector.view, self._detector
+        return _answer(f"cluster {self._setup.name} member {self._name}", [
+            f"isolated {'yes' if detector.isolated else 'no'}", f"joined {'yes' if view.joined else 'no'}",
+            f"health {detector.health.score}", f"accused {view.accused}", f"digest {view.digest:014x}",
+            f"refused {view.refused_by.address if view.refused_by is not None else 'no'}"])
+
+
+def _answer(head: str, lines: Iterable[str]) -> str:
+    return "\n".join([f"SUCCESS {head}".rstrip(), *lines, "EOT"]) + "\n"
+
--- a/chutepin/cluster/trials.py
+++ b/chutepin/cluster/trials.py
@@ -16,8 +16,8 @@
 def suspicion_time(least: float, most_times: int, members: int, others: int) -> float:
     """Seconds that an accused has, when so many others accuse it as well.
 
-    It shrinks from `most_times` to one time the least with the logarithm of the confirmations (Lifeguard). The least one
-    grows with the logarithm of the number of members, as news takes that long."""
+    It shrinks from `most_times` to one time the least with the logarithm of the confirmations (Lifeguard). The least
+    one grows with the logarithm of the number of members, as news takes that long."""
     least *= max(1.0, math.log10(members))
     wanted = min(WITNESSES, members - 2)
     if wanted < 1:
--- a/chutepin/cluster/view.py
+++ b/chutepin/cluster/view.py
@@ -112,13 +112,18 @@
             self.forget_links(now, new.name)
             if before is not Status.LEFT:
                 self.tell("left", new.name, incarnation=new.incarnation)
-        elif before is Status.SUSPECT:
-            self.tell("refuted", new.name, incarnation=new.incarnation)
-        elif before is None:
+        else:
+            self._alive(old, new)
+
+    def _alive(self, old: Record | None, new: Record) -> None:
+        """A member is there, or there again."""
+        if old is None:
             self.tell("joined", new.name, incarnation=new.incarnation, address=new.address)
-        elif before is not Status.ALIVE:
+        elif old.status is Status.SUSPECT:
+            self.tell("refuted", new.name, incarnation=new.incarnation)
+        elif old.status is not Status.ALIVE:
             self.tell("returned", new.name, incarnation=new.incarnation, address=new.address)
-        elif old is not None and new.address != old.address:
+        elif new.address != old.address:
             self.tell("moved", new.name, incarnation=new.incarnation, address=new.address)
 
     def _confirmed(self, member: Member, update: Record) -> None:
--- a/chutepin/config/cluster.py
+++ b/chutepin/config/cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -45,7 +46,13 @@
 
 
 def _listen(raw: Any, name: str) -> Address:
-    return address(raw, name)
+    """An address in numbers: nothing here may wait for a name to be looked up."""
+    found = address(raw, name)
+    try:
+        ipaddress.ip_address(found.host.strip("[]"))
+    except ValueError:
+        raise ConfigError(f"{name}: {found.host} is not an IP address") from None
+    return found
 
 
 def _peer(raw: Any, name: str) -> tuple[str, str]:
@@ -53,7 +60,7 @@
     member, equals, where = text(raw, name).partition("=")
     if not equals:
         raise ConfigError(f"{name}: {raw} is not of the form member=host:port")
-    found = address(where, name)
+    found = _listen(where, name)
     return _name(member, name), f"{found.host}:{found.port}"
 
 
--- a/chutepin/config/operator.py
+++ b/chutepin/config/operator.py
@@ -10,11 +10,14 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..ops import LogFormat
 from .platform import ConfigError
 
+if TYPE_CHECKING:
+    from .cluster import ClusterSetup
+
 TIME = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}  # in seconds
 SIZE = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # in bytes
 RATE = {"per-s": 1.0, "per-min": 1 / 60}  # events a second
@@ -72,6 +75,7 @@
     log: LogSetup = field(default_factory=LogSetup)
     store: StoreSetup | None = None
     admission: AdmissionSetup = field(default_factory=AdmissionSetup)
+    cluster: ClusterSetup | None = None
 
 
 def quantity(units: Mapping[str, float], least: float, most: float) -> Check:
@@ -191,16 +195,21 @@
         raise ConfigError(f"not KDL: {error}") from None
     blocks: dict[str, dict[str, Any]] = {}
     for node in document.nodes:
-        if node.name not in BLOCKS:
-            raise ConfigError(f"{node.name}: unknown block; known are {', '.join(BLOCKS)}")
+        if node.name not in (*BLOCKS, "cluster"):
+            raise ConfigError(f"{node.name}: unknown block; known are {', '.join(BLOCKS)}, cluster")
         if node.name in blocks:
             raise ConfigError(f"{node.name}: given twice")
-        blocks[node.name] = _block(node, BLOCKS[node.name])
+        if node.name == "cluster":  # its fields are loaded only with it
+            from .cluster import KNOWN, cluster_setup
+            blocks[node.name] = {"setup": cluster_setup(_block(node, KNOWN))}
+        else:
+            blocks[node.name] = _block(node, BLOCKS[node.name])
     log = LogSetup(LogFormat(blocks.get("log", {}).get("format", LogFormat.PLAIN.value)))
     admission = AdmissionSetup(**{name.replace("-", "_"): value for name, value in blocks.get("admission", {}).items()})
     if admission.new_share + admission.reserve > 1 and admission.new_share < 1:
         raise ConfigError("admission.new-share: with admission.reserve more than 100 %")
-    return Setup(log, _store(blocks["store"]) if "store" in blocks else None, admission)
+    store = _store(blocks["store"]) if "store" in blocks else None
+    return Setup(log, store, admission, blocks.get("cluster", {}).get("setup"))
 
 
 def _store(values: dict[str, Any]) -> StoreSetup:
--- a/chutepin/lab/history.py
+++ b/chutepin/lab/history.py
@@ -59,7 +59,8 @@
         for fault in self.done:
             yield json.dumps(["done", round(fault.at, 4), fault.what, fault.members, fault.value, fault.groups])
         for seen in self.seen:
-            yield json.dumps(["seen", round(seen.at, 4), seen.member, seen.what, seen.subject, seen.by, seen.incarnation])
+            yield json.dumps(["seen", round(seen.at, 4), seen.member, seen.what, seen.subject, seen.by,
+                              seen.incarnation])
         for shown in self.shown:
             yield json.dumps(["shown", round(shown.at, 4), shown.member, shown.states, shown.links])
 
@@ -96,15 +97,16 @@
                 self.stopped -= some
             case "slow":
                 for name in some:
-                    self.slow[name] = fault.value
-                    if not fault.value:
-                        del self.slow[name]
-            case "loss":
-                self.loss = fault.value
-            case "delay":
-                self.delay = fault.value
-            case "duplicate":
-                self.duplicate = fault.value
+                    self.slow.pop(name, None)
+                    if fault.value:
+                        self.slow[name] = fault.value
+            case "loss" | "delay" | "duplicate":
+                setattr(self, fault.what, fault.value)
+            case _:
+                self._links(fault)
+
+    def _links(self, fault: Fault) -> None:
+        match fault.what:
             case "cut":
                 self.cuts |= {(fault.members[0], other) for other in fault.members[1:]}
             case "mend":
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -8,6 +8,7 @@
 import os
 import resource
 import signal
+import socket
 from collections.abc import Awaitable
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,7 @@
 from .net.records import RecordsService
 from .net.resp import SWEEP, Front
 from .ops import Clock, Counters, Log, LogFormat
+from .subsystem import subsystems
 
 if TYPE_CHECKING:
     from .admin import Listener
@@ -75,13 +77,13 @@
         return None
 
 
-def shares(limit: int, amqp: bool, store: bool, ops: bool = False) -> Ledger:
+def shares(limit: int, amqp: bool, store: bool, ops: bool = False, cluster: bool = False) -> Ledger:
     """The descriptors shared out: half for the front at most, two fifths for records, as after a
     reload old and new connections stand side by side; what must reconnect has its own."""
     return Ledger(limit, {
         "front": (0, max(8, limit // 2)), "records": (max(2, limit // 32), max(8, 2 * limit // 5)),
         "executor": (2, 2), "control": (1, 1), "amqp": (2 * amqp, 2), "store": (8 * store, 40), "files": (2, 8),
-        "ops": (4 * ops, max(4, min(16, limit // 32)) * ops)},
+        "ops": (4 * ops, max(4, min(16, limit // 32)) * ops), "cluster": (8 * cluster, 24 * cluster)},
         descriptors() or 0)
 
 
@@ -118,7 +120,8 @@
                           config.settings.halt is api.Halt.PAUSE)
         # Descriptors that the process may really have, whatever the configuration allows.
         self.sockets = sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self.ledger = shares(sockets, amqp is not None, self.setup.store is not None, config.ops is not None)
+        self.ledger = shares(sockets, amqp is not None, self.setup.store is not None, config.ops is not None,
+                             self.setup.cluster is not None)
         self.executor = ExecutorLink(config.executor, session, self.counters, self.log)
         self.records = RecordsService(config.records, self.clock, self.counters, self.log,
                                       max(4, sockets // 5), self.ledger)
@@ -128,10 +131,16 @@
         alarm.broker = session.notices = self.records.listener = self.broker
         self.front = Front(self.broker, self.clock, self.counters, self.log, sockets,
                            rules_of(self.setup.admission), self.ledger, self.lifecycle)
+        self.store: Store | None = None
+        if self.setup.store is not None:  # loaded only where an operator switches it on
+            self.store = _open_store(self.setup.store, self.clock, self.log)
+        self.subsystems = subsystems(config, self.setup, self.ledger, self.counters, self.log, self.store)
         self.listener: Listener | None = None
         if config.ops is not None:  # loaded only where operators call
             from .admin import Calls, Listener
-            self.listener = Listener(Calls(self.lifecycle, self.broker.figures), self.ledger, self.counters, self.log)
+            more = {name: call for part in self.subsystems for name, call in part.calls().items()}
+            self.listener = Listener(Calls(self.lifecycle, self.broker.figures, more), self.ledger, self.counters,
+                                     self.log)
         self.consumer: Consumer | None = None
         if amqp is not None:
             # Loaded only where an operator turns the front on: the platform's nodes need no codec for it.
@@ -146,16 +155,13 @@
                 self.front.tap = self.recorder = recorder
             if read is not None:
                 self.source = Source(read, config.listen.port, self.front, self.clock)
-        self.store: Store | None = None
-        if self.setup.store is not None:  # loaded only where an operator switches it on
-            self.store = _open_store(self.setup.store, self.clock, self.log)
         self.handover: Handover | None = None
         if place := os.environ.get("TMPDIR"):
             window = max((cls.window for cls in config.settings.classes), default=0.0)
             path = meeting_place(place, config.name, f"{config.listen.host}:{config.listen.port}")
             dialogue = Dialogue(_Side(self), Succession(window), self.clock, self.counters)
             self.broker.twin, self.broker.keys.told = dialogue, dialogue.told
-            self.handover = Handover(path, dialogue, lambda: self.front.listeners, self.clock, self.counters, self.log)
+            self.handover = Handover(path, dialogue, self._passed, self.clock, self.counters, self.log)
             self.handover.serves = self._serve
         self._serving = False
         self.reporter = Reporter(config.control, config.name, self._ready, self.counters,
@@ -166,8 +172,9 @@
         """On request and at exit; never dropped by the rate limit."""
         dropped = {"log.dropped": self.log.dropped} if self.log.dropped else {}
         store = {} if self.store is None else {f"store.{name}": count for name, count in self.store.figures().items()}
+        parts = {name: count for part in self.subsystems for name, count in part.figures().items()}
         self.log.always("counters", **dict(sorted(self.counters.counts.items())), **self.front.figures(), **store,
-                        **dropped)
+                        **parts, **dropped)
 
     def print_state(self) -> None:
         """On SIGUSR1: the counters, who is connected most, and the descriptors."""
@@ -234,7 +241,8 @@
                 await self.listener.listen(self.config.ops.host, self.config.ops.port)
             except OSError as error:
                 raise ConfigError(f"ops: {error.strerror or error}") from None
-        work: list[Awaitable[None]] = [self.executor.run(), self._sweep(), self._report()]
+        work: list[Awaitable[None]] = [self.executor.run(), self._sweep(), self._report(),
+                                       *(part.run() for part in self.subsystems)]
         if self.handover is not None:
             work.append(self.handover.run())
         if self.consumer is not None:
@@ -285,6 +293,9 @@
         """Accept balancers, on the sockets of a predecessor where it passed them. Raises OSError at the start only:
         beside a predecessor the node stays, and is asked again."""
         sockets = self.handover.sockets if self.handover is not None else []
+        for part in self.subsystems:
+            sockets[:] = part.adopt(sockets)
+        sockets[:] = self._clients(sockets)
         if sockets:
             self.front.adopt(sockets)
             sockets.clear()
@@ -300,9 +311,25 @@
             self._serving = True
             self.log.event("serves", name=self.config.name,
                            listen=f"{self.config.listen.host}:{self.config.listen.port}")
+            for part in self.subsystems:
+                part.start()
         if self.broker.started:
             self.lifecycle.move(Move.CAN_SERVE)
 
+    def _passed(self) -> list[socket.socket]:
+        """The listening sockets that a successor is to have."""
+        return self.front.listeners + [sock for part in self.subsystems for sock in part.sockets()]
+
+    def _clients(self, sockets: list[socket.socket]) -> list[socket.socket]:
+        """Of a predecessor's sockets those for clients. The others belong to a subsystem that is off here."""
+        port, mine = self.config.listen.port, []
+        for sock in sockets:
+            if sock.type == socket.SOCK_STREAM and sock.getsockname()[1] == port:
+                mine.append(sock)
+            else:
+                sock.close()
+        return mine
+
     async def _report(self) -> None:
         """The list follows what all processes of the node report: one that does not serve yet has nothing to say."""
         while not self._serving:
@@ -336,6 +363,8 @@
         if self.lifecycle.handed_over:
             await self._finish()
             return
+        for part in self.subsystems:
+            part.leave()
         stop = self.clock.now() + self.config.stop - STOP_MARGIN
         self.broker.drain(stop)
         if self.consumer is not None:
@@ -393,8 +422,12 @@
         """A successor serves."""
         self._node.lifecycle.move(Move.SUCCEEDED)
         self._node.front.yields()
+        for part in self._node.subsystems:
+            part.yields()
 
     def takes_back(self) -> None:
         """It has gone."""
         self._node.lifecycle.move(Move.ALONE)
         self._node.front.takes_back()
+        for part in self._node.subsystems:
+            part.takes_back()
