Fault rig: real processes on loopback, every directed link through a relay, one history

Cause or need: failure detection must be proven on several processes of the program, with faults between them. Ruled out: reading logs for what happened (they are rate limited): operators' calls are polled, changes are numbered.

--- a/chutepin/lab/faults.py
+++ b/chutepin/lab/faults.py
@@ -27,6 +27,7 @@
     | `cut`, `mend` | from the first to each of the others, that direction | |
     | `split` | | groups of members; links between groups are cut both ways |
     | `heal` | all cuts end | |
+    | `tear` | of all links | share of TCP connections that are cut in the middle of a frame |
     | `clock` | whom | seconds by which the system's clock is set (for its next start) |
     """
 
@@ -38,7 +39,7 @@
 
 
 KINDS = frozenset({"crash", "restart", "leave", "stop", "wake", "slow", "loss", "delay", "duplicate", "cut", "mend",
-                   "split", "heal", "clock"})
+                   "split", "heal", "tear", "clock"})
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/chutepin/lab/fleet.py
@@ -0,0 +1,289 @@
+"""The fault rig: many real processes of the program on loopback, each directed link between them through a relay.
+
+A schedule of faults is played on them; what is seen is seen from outside: what each process shows to operators. Everything
+is bounded in time, and only processes that were started here are ended, by id."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import struct
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from .faults import Fault, Schedule
+from .history import History, Seen, Shown, Truth
+from .relay import Relay
+from .standins import EXAMPLE, Standins, free_port
+
+LOOK = 0.25  # seconds between looks at what a process shows
+ASK_BY = 5.0  # seconds that an operator's call may take here
+JOIN_BY = 60.0  # seconds in which all must have found each other before the schedule begins
+CYCLE = 1.0  # seconds: a slow process is stopped for its share of each
+CLOCK = Path(__file__).with_name("setclock")
+
+
+class Process:
+    """One member: the real program between its own stand-ins."""
+
+    def __init__(self, name: str, address: str, ops: int) -> None:
+        self.name, self.address, self.ops = name, address, ops
+        self.world = Standins(EXAMPLE["settings"])
+        self.world.name = name
+        self.number = 0  # of the last change that was seen
+        self.clock: Path | None = None
+        self.refusals = 0
+        self.extra = ""  # lines of the block
+
+    @property
+    def running(self) -> bool:
+        """It was started and has not ended."""
+        return self.world.process is not None and self.world.process.returncode is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this very process."""
+        if self.running:
+            assert self.world.process is not None
+            with contextlib.suppress(ProcessLookupError):
+                self.world.process.send_signal(number)
+
+    async def ask(self, call: str) -> list[str]:
+        """The lines of an operator's call; none where it does not answer in time."""
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + ASK_BY):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.ops)
+                writer.write(call.encode() + b"\n")
+                lines = (await reader.read()).decode().splitlines()
+                writer.close()
+        except (OSError, TimeoutError):
+            return []
+        return lines
+
+    def set_clock(self, offset: float) -> None:
+        """Set the system's clock as this process sees it."""
+        assert self.clock is not None
+        self.clock.write_bytes(struct.pack("d", offset))
+
+
+class Fleet:
+    """A number of processes, and a schedule that is played on them."""
+
+    def __init__(self, schedule: Schedule, seed: int, *, seeds: int = 2, look: float = LOOK,
+                 environ: dict[str, str] | None = None, note: Callable[[str], None] = lambda _: None) -> None:
+        """`seeds`: how many of the first members the others join by. `note` takes a line for each thing done."""
+        self.schedule, self._seed, self._seeds, self._every, self._note = schedule, seed, seeds, look, note
+        self._environ = environ or {}
+        self.truth, self.history = Truth(schedule), History(schedule)
+        self.processes: dict[str, Process] = {}
+        self.relays: dict[tuple[str, str], Relay] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._began = 0.0
+        self.late: list[str] = []  # those that are started by a `restart` of the schedule only
+
+    @property
+    def now(self) -> float:
+        """Seconds since the schedule began."""
+        return time.monotonic() - self._began
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Relays and files of all, and the processes but for the late ones."""
+        self._directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        stack.push_async_callback(self._close)
+        rng = random.Random(self._seed)
+        for name in self.schedule.names():
+            self.processes[name] = Process(name, f"127.0.0.1:{await free_port()}", await free_port())
+        for source in self.processes:
+            for target, process in self.processes.items():
+                if source != target:
+                    host, _, port = process.address.rpartition(":")
+                    relay = Relay(source, target, (host, int(port)), self.truth, random.Random(rng.random()))
+                    await relay.open()
+                    self.relays[source, target] = relay
+        for process in self.processes.values():
+            await self._prepare(stack, process)
+        await asyncio.gather(*(self._start(stack, self.processes[name]) for name in self.processes
+                               if name not in self.late))
+
+    async def _prepare(self, stack: AsyncExitStack, process: Process) -> None:
+        name = process.name
+        process.clock = self._directory / f"{name}.clock"
+        process.set_clock(0.0)
+        self.setup(process).write_text(self.block(process))
+        process.world.log = stack.enter_context(open(self._directory / f"{name}.log", "wb"))  # noqa: SIM115
+        process.world.environ = {**self._environ, "LB_OPS": f"127.0.0.1:{process.ops}", "LAB_CLOCK": str(process.clock),
+                                 "PYTHONPATH": str(CLOCK), "TMPDIR": str(self._directory)}
+
+    def setup(self, process: Process) -> Path:
+        """The operator's file of a process."""
+        return self._directory / f"{process.name}.kdl"
+
+    def log(self, name: str) -> str:
+        """What a process has logged."""
+        return (self._directory / f"{name}.log").read_text(errors="replace")
+
+    def block(self, process: Process) -> str:
+        """Its block `cluster`."""
+        seeds = list(self.processes)[:self._seeds]
+        reach = " ".join(f'"{target}=127.0.0.1:{relay.port}"' for (source, target), relay in self.relays.items()
+                         if source == process.name)
+        return (f'cluster {{\n name "fleet"\n region "r1"\n zone "{self.schedule.zone(process.name)}"\n'
+                f' listen "{process.address}"\n'
+                f' seeds {" ".join(f"{chr(34)}{seed}={self.processes[seed].address}{chr(34)}" for seed in seeds)}\n'
+                f' reach {reach}\n{process.extra}}}\n')
+
+    async def _start(self, stack: AsyncExitStack, process: Process) -> None:
+        await process.world.start(stack, "--setup", str(self.setup(process)))
+
+    async def joined(self, names: list[str] | None = None) -> None:
+        """Wait until all that run show each other alive. Raises AssertionError after a minute."""
+        until = time.monotonic() + JOIN_BY
+        names = names or [name for name, process in self.processes.items() if process.running]
+        while True:
+            shown = await asyncio.gather(*(self._members(self.processes[name]) for name in names))
+            if all(sorted(name for name, state, _ in states if state == "alive") == sorted(names) for states in shown):
+                return
+            assert time.monotonic() < until, f"they have not found each other: {shown}"
+            await asyncio.sleep(LOOK)
+
+    async def run(self, stack: AsyncExitStack, joined: bool = True) -> History:
+        """Play the schedule and watch; the history."""
+        await self.open(stack)
+        if joined:
+            await self.joined()
+        await self.play(stack)
+        return self.history
+
+    async def play(self, stack: AsyncExitStack) -> None:
+        """Begin the schedule now, and watch to its end."""
+        for process in self.processes.values():
+            await self._changes(process, keep=False)  # what happened before
+        before = {link: (relay.packets, relay.bytes) for link, relay in self.relays.items()}
+        self._began = time.monotonic()
+        watchers = [self._spawn(self._watch(process)) for process in self.processes.values()]
+        for fault in sorted(self.schedule.faults, key=lambda fault: fault.at):
+            await asyncio.sleep(max(0.0, fault.at - self.now))
+            self._note(f"{self.now:7.2f} {fault.what} {' '.join(fault.members)} {fault.value or ''}".rstrip())
+            await self._do(stack, fault)
+        await asyncio.sleep(max(0.0, self.schedule.seconds - self.now))
+        for watcher in watchers:
+            watcher.cancel()
+        await asyncio.gather(*watchers, return_exceptions=True)
+        for link, relay in self.relays.items():
+            self.history.packets += relay.packets - before[link][0]
+            self.history.bytes += relay.bytes - before[link][1]
+            self.history.longest = max(self.history.longest, relay.longest)
+        self.history.seen.sort(key=lambda seen: seen.at)
+        self.history.shown.sort(key=lambda shown: shown.at)
+
+    def _spawn(self, work: object) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        for relay in self.relays.values():
+            relay.close()
+        for process in self.processes.values():
+            process.signal(signal.SIGCONT)
+            await process.world.kill()
+
+    # --- faults ---
+
+    async def _do(self, stack: AsyncExitStack, fault: Fault) -> None:
+        for name in fault.members:
+            await self._to_process(stack, self.processes[name], fault)
+        done = Fault(self.now, fault.what, fault.members, fault.value, fault.groups)
+        self.truth.do(done)
+        self.history.done.append(done)
+
+    async def _to_process(self, stack: AsyncExitStack, process: Process, fault: Fault) -> None:
+        match fault.what:
+            case "crash":
+                process.signal(signal.SIGKILL)
+                assert process.world.process is not None
+                await process.world.process.wait()
+            case "leave":
+                process.signal(signal.SIGTERM)
+            case "stop":
+                process.signal(signal.SIGSTOP)
+            case "wake":
+                process.signal(signal.SIGCONT)
+            case "slow" if fault.value:
+                self._spawn(self._starve(process, fault.value))
+            case "restart" if not process.running or process.world.process is None:
+                await self._restart(stack, process)
+            case "clock":
+                process.set_clock(fault.value)
+            case _:
+                pass
+
+    async def _restart(self, stack: AsyncExitStack, process: Process) -> None:
+        process.number = 0
+        if process.world.process is None:
+            await self._start(stack, process)
+        else:
+            await process.world.spawn()
+
+    async def _starve(self, process: Process, share: float) -> None:
+        """Let a process run for a part of each second only, until the schedule says otherwise."""
+        await asyncio.sleep(0)
+        try:
+            while process.running and (self.truth.slow.get(process.name) or self.now < 0.5):
+                process.signal(signal.SIGSTOP)
+                await asyncio.sleep(CYCLE * share)
+                process.signal(signal.SIGCONT)
+                await asyncio.sleep(CYCLE * (1 - share))
+        finally:
+            process.signal(signal.SIGCONT)
+
+    # --- what is seen ---
+
+    async def _watch(self, process: Process) -> None:
+        while True:
+            if process.running and process.name not in self.truth.stopped:
+                asked = self.now
+                states = await self._members(process)
+                links = await process.ask("links")
+                if states and links and self.now < asked + 1.0:  # a slow answer is no picture of a moment
+                    self.history.shown.append(Shown(self.now, process.name, tuple(states), tuple(
+                        (line.split()[0], line.split()[1]) for line in links[1:-1])))
+                await self._changes(process)
+            await asyncio.sleep(self._every)
+
+    async def _members(self, process: Process) -> list[tuple[str, str, int]]:
+        lines = await process.ask("members")
+        if not lines or not lines[0].startswith("SUCCESS"):
+            process.refusals += bool(lines) and "refused" in lines[0]
+            return []
+        rows = [line.split() for line in lines[1:-1]]
+        return sorted((row[0], row[1], int(row[2])) for row in rows)
+
+    async def _changes(self, process: Process, keep: bool = True) -> None:
+        lines = await process.ask("changes")
+        now = self.now
+        for line in lines[1:-1]:
+            number, age, what, subject, incarnation, *fields = line.split()
+            if int(number) <= process.number:
+                continue
+            process.number = int(number)
+            by = next((field[3:] for field in fields if field.startswith("by=")), "")
+            if keep:
+                self.history.seen.append(Seen(now - int(age) / 1000, process.name, what, subject, by, int(incarnation)))
+
+
+async def play(schedule: Schedule, seed: int, seeds: int = 2, note: Callable[[str], None] = lambda _: None,
+               look: float = LOOK) -> History:
+    """Run a schedule on real processes; release builds."""
+    async with AsyncExitStack() as stack:
+        fleet = Fleet(schedule, seed, seeds=seeds, note=note, look=look, environ={"PYTHONOPTIMIZE": os.environ.get(
+            "PYTHONOPTIMIZE", "")})
+        return await fleet.run(stack)
--- a/chutepin/lab/history.py
+++ b/chutepin/lab/history.py
@@ -78,7 +78,7 @@
         self.stopped: set[str] = set()
         self.slow: dict[str, float] = {}
         self.cuts: set[tuple[str, str]] = set()
-        self.loss = self.delay = self.duplicate = 0.0
+        self.loss = self.delay = self.duplicate = self.tear = 0.0
 
     def do(self, fault: Fault) -> None:
         """Something is done."""
@@ -100,7 +100,7 @@
                     self.slow.pop(name, None)
                     if fault.value:
                         self.slow[name] = fault.value
-            case "loss" | "delay" | "duplicate":
+            case "loss" | "delay" | "duplicate" | "tear":
                 setattr(self, fault.what, fault.value)
             case _:
                 self._links(fault)
--- a/chutepin/lab/standins.py
+++ b/chutepin/lab/standins.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 from ..net.lines import LineParser, line
 from ..net.resp import RespParser, array
@@ -50,6 +50,9 @@
         self.environ: dict[str, str] = {}
         self.program = ROOT  # whose program runs
         self.process: asyncio.subprocess.Process | None = None
+        self.name = "n3"
+        self.log: IO[bytes] | None = None  # where the program's log goes, if not to the reader of `process.stderr`
+        self._arguments: tuple[str, ...] = ()
         self.port = self.listen_port = self.ops_port = 0
         self.errors = ""
 
@@ -60,13 +63,19 @@
         self.ops_port = await free_port() if ops else 0
         self.path = Path(stack.enter_context(tempfile.TemporaryDirectory())) / "config.json"
         await self.configure(stack)
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "chutepin", *arguments, cwd=self.program, stderr=asyncio.subprocess.PIPE,
-            preexec_fn=self._limit if self.descriptors else None,
-            env={**os.environ, **self.environ, **(environ or {}), "LB_CONFIG": str(self.path)})
+        self.environ |= environ or {}
+        self._arguments = arguments
+        await self.spawn()
         stack.push_async_callback(self.kill)
         await eventually(lambda: self.joins)
 
+    async def spawn(self) -> None:
+        """Start the program, also once more after its end."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "chutepin", *self._arguments, cwd=self.program,
+            stderr=self.log or asyncio.subprocess.PIPE, preexec_fn=self._limit if self.descriptors else None,
+            env={**os.environ, **self.environ, "LB_CONFIG": str(self.path)})
+
     def _limit(self) -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
 
@@ -81,7 +90,7 @@
             stack.callback(server.close)
             ports.append(server.sockets[0].getsockname()[1])
         self.path.write_text(json.dumps({
-            "name": "n3", "listen": f"127.0.0.1:{self.port}", "executor": f"127.0.0.1:{ports[0]}",
+            "name": self.name, "listen": f"127.0.0.1:{self.port}", "executor": f"127.0.0.1:{ports[0]}",
             "records": f"127.0.0.1:{ports[1]}", "control": f"127.0.0.1:{ports[2]}",
             "seed": "8c1f30d27a5be964", "stop_ms": self.stop_ms,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
