Mutants of the detector, each caught; links are part of the digest; probes spread in time

Cause or need: a report of links that one of seven members missed was never repaired, and members that began together probed at the same moments. Ruled out: more repeats of gossip: exchange of whole states when digests differ repairs it for good. Change: links in the digest, jitter of a tenth on the probe, an invariant that who wakes suspects nobody, tests/mutants.py.

--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -543,7 +543,8 @@
         if self._active:
             self._judge(now)
             if now >= self._next_probe:
-                self._next_probe = now + self._setup.probe_every * self.health.stretch
+                # Drawn, lest members that began together go on probing at the same moments.
+                self._next_probe = now + self._setup.probe_every * self.health.stretch * (0.9 + 0.2 * self._rng.random())
                 if (subject := self._turn()) is not None:
                     self._probe(now, subject, Why.ROUND)
             self._gossip(now)
--- a/chutepin/cluster/view.py
+++ b/chutepin/cluster/view.py
@@ -39,7 +39,7 @@
         self.me = me
         self.life = me.incarnation
         self.table = Table(most, remember)
-        self.links = LinkTable(me.name)
+        self.links = LinkTable(me.name, me.incarnation)
         self.queue = Queue()
         self.counts: Counter[str] = Counter()
         self.told: list[Tell | Persist] = []
@@ -61,7 +61,7 @@
     @property
     def digest(self) -> int:
         """Equal where views are equal but for suspicions and the gone."""
-        return self.table.digest ^ (digest_of(self.me) if self.me.live else 0)
+        return self.table.digest ^ self.links.digest ^ (digest_of(self.me) if self.me.live else 0)
 
     def repeats(self) -> int:
         """How often each update is told on."""
@@ -170,6 +170,7 @@
         """Others know a later process of this name: be later than that."""
         self.raise_above(max(above, self.life))
         self.life = self.me.incarnation
+        self.links.live_on(self.life)
 
     def refuse(self, holder: Record) -> None:
         """The name is another process's."""
@@ -192,12 +193,12 @@
         if self.links.find(now, source, target, bad):
             self.tell("link_bad" if bad else "link_good", target if source == self.me.name else source,
                       source=source, target=target)
-            self.queue.add(self.links.report(now, self.life))
+            self.queue.add(self.links.report(now))
 
     def forget_links(self, now: float, name: str) -> None:
         """A member has gone."""
         if self.links.forget(name):
-            self.queue.add(self.links.report(now, self.life))
+            self.queue.add(self.links.report(now))
 
     # --- whole states ---
 
@@ -205,7 +206,7 @@
         """All that is known here."""
         updates: list[Update] = [member.record for member in self.table.members.values()]
         if self.links.version:
-            updates.append(self.links.report(now, self.life))
+            updates.append(self.links.report(now))
         return updates + list(self.links.told(now))
 
     def age(self, now: float) -> None:
--- a/chutepin/lab/fleet.py
+++ b/chutepin/lab/fleet.py
@@ -1,7 +1,7 @@
 """The fault rig: many real processes of the program on loopback, each directed link between them through a relay.
 
-A schedule of faults is played on them; what is seen is seen from outside: what each process shows to operators. Everything
-is bounded in time, and only processes that were started here are ended, by id."""
+A schedule of faults is played on them; what is seen is seen from outside: what each process shows to operators.
+Everything is bounded in time, and only processes that were started here are ended, by id."""
 
 from __future__ import annotations
 
@@ -115,7 +115,7 @@
         process.clock = self._directory / f"{name}.clock"
         process.set_clock(0.0)
         self.setup(process).write_text(self.block(process))
-        process.world.log = stack.enter_context(open(self._directory / f"{name}.log", "wb"))  # noqa: SIM115
+        process.world.log = stack.enter_context(open(self._directory / f"{name}.log", "wb"))
         process.world.environ = {**self._environ, "LB_OPS": f"127.0.0.1:{process.ops}", "LAB_CLOCK": str(process.clock),
                                  "PYTHONPATH": str(CLOCK), "TMPDIR": str(self._directory)}
 
--- a/chutepin/lab/invariants.py
+++ b/chutepin/lab/invariants.py
@@ -12,6 +12,7 @@
 
 SETTLED = 10.0  # within which views are equal once nothing happens
 KNOWN = 10.0  # within which a crash is known to all
+JUST = 1.0  # a probe that was under way when a member was stopped would be over
 AWAKE = 10.0  # for which a woken member must accuse nobody to death
 CORRECTIONS = 16  # times that an update may be told besides, to those that tell older news
 SUSPICION = 10.0  # for how long back somebody must have been out of reach to be rightly called dead
@@ -28,7 +29,7 @@
             truth.do(fault)
             copy = Truth(history.schedule)
             copy.up, copy.stopped, copy.cuts = set(truth.up), set(truth.stopped), set(truth.cuts)
-            copy.slow = dict(truth.slow)
+            copy.slow, copy.loss = dict(truth.slow), truth.loss
             self.times.append(fault.at)
             self.truths.append(copy)
 
@@ -67,6 +68,19 @@
     return found
 
 
+def a_woken_member_suspects_nobody(history: History, slack: float = 1.0) -> list[str]:
+    """Who was stopped and woke does not take its own silence for that of those that are well."""
+    past, found = Past(history), []
+    woken = [(fault.at, name) for fault in history.done if fault.what == "wake" for name in fault.members]
+    for seen in history.seen:
+        if seen.what == "suspect" and any(name == seen.by and at <= seen.at <= at + JUST for at, name in woken):
+            truths = past.during(seen.at - AWAKE * slack, seen.at)
+            if all(seen.subject in truth.up and not truth.cuts and not truth.loss for truth in truths) \
+                    and seen.subject not in truths[-1].stopped:
+                found.append(f"{seen.at:.2f} {seen.by} woke and suspects {seen.subject}")
+    return found
+
+
 def every_crash_is_known(history: History, slack: float = 1.0) -> list[str]:
     """Who ran on and could be asked shows the crashed one dead in time, if it stayed down that long."""
     past, found = Past(history), []
@@ -168,7 +182,8 @@
 
 Invariant = Callable[[History, float], list[str]]
 ALL: tuple[Invariant, ...] = (
-    no_live_member_is_declared_dead, a_woken_member_accuses_nobody_to_death, every_crash_is_known,
+    no_live_member_is_declared_dead, a_woken_member_accuses_nobody_to_death, a_woken_member_suspects_nobody,
+    every_crash_is_known,
     views_agree_in_the_end, incarnations_only_rise, cut_links_are_told_and_no_others, traffic_is_bounded)
 
 
--- a/chutepin/lab/relay.py
+++ b/chutepin/lab/relay.py
@@ -1,7 +1,7 @@
 """One directed link between two real processes: a relay for datagrams and TCP, under the faults of the moment.
 
-What the source sends to the target goes through here; what the target sends back over the same TCP connection is subject to
-the other direction's faults, as a cut of it would have it."""
+What the source sends to the target goes through here; what the target sends back over the same TCP connection is
+subject to the other direction's faults, as a cut of it would have it."""
 
 from __future__ import annotations
 
--- a/chutepin/lab/setclock/sitecustomize.py
+++ b/chutepin/lab/setclock/sitecustomize.py
@@ -1,7 +1,7 @@
 """In front of a process of the fault rig: a system's clock that the rig can set. No part of the program.
 
-Python imports this file by itself where its folder stands in PYTHONPATH. The offset in seconds is a double in the file that
-$LAB_CLOCK names, shared with the rig."""
+Python imports this file by itself where its folder stands in PYTHONPATH. The offset in seconds is a double in the file
+that $LAB_CLOCK names, shared with the rig."""
 
 import mmap
 import os
--- a/chutepin/lab/simulator.py
+++ b/chutepin/lab/simulator.py
@@ -24,6 +24,7 @@
 
 BUFFER = 256  # datagrams that wait in a socket's buffer
 TURN = 0.00005  # seconds that a member takes for a datagram
+MOST_PACKETS = 500  # a second of each member, on average over the whole schedule; then the run ends
 EPOCH = 1_700_000_000_000  # where the system's clocks begin, in milliseconds
 
 Make = Callable[[ClusterSetup, str, int, float, random.Random], Detector]
@@ -46,10 +47,12 @@
 
     def __init__(self, schedule: Schedule, seed: int, make: Make = Detector, *, wire: bool = False, show: float = 1.0,
                  delay: float = 0.001, kept: bool = False, seeds: int = 3,
-                 settings: dict[str, Any] | None = None) -> None:
+                 known: bool = False, settings: dict[str, Any] | None = None) -> None:
         """`wire`: every packet goes through its bytes. `show`: seconds between looks at what members show. `kept`: the
-        incarnation survives in a store. `delay`: seconds of a link at the most."""
+        incarnation survives in a store. `delay`: seconds of a link at the most. `known`: all know each other
+        from the start, which spares the joining of many."""
         self.schedule, self._make, self._wire, self._show, self._kept = schedule, make, wire, show, kept
+        self._known = known
         self._rng = random.Random(seed)
         self._delay, self._seeds, self._settings = delay, seeds, settings or {}
         self.now = 0.0
@@ -81,6 +84,8 @@
             self._at(at, self._look)
             at += self._show
         still = 0
+        if self._known:
+            self._at(0.0, self._introduce)
         while self._events:
             at, _, work, arguments = heapq.heappop(self._events)
             if at > self.schedule.seconds:
@@ -104,6 +109,16 @@
         host.waiting.clear()
         self._carry_out(host, None)
 
+    def _introduce(self) -> None:
+        """Tell all of all."""
+        records = [host.detector.me for host in self.hosts.values() if host.detector is not None]
+        for host in self.hosts.values():
+            if host.detector is not None:
+                host.detector.view.joined = True
+                for record in records:
+                    if record.name != host.name:
+                        host.detector.view.table.put(self.now, record)
+
     def _fault(self, fault: Fault) -> None:
         self.truth.do(fault)
         self.history.done.append(fault)
@@ -191,6 +206,8 @@
                 self._at(at, self._exchange, host, target, send.packet)
             return
         self.history.packets += 1
+        if self.history.packets > MOST_PACKETS * self.schedule.members * self.schedule.seconds:
+            self._events.clear()  # the invariant of traffic says the rest
         self.sent[host.name] += 1
         for update in send.packet.updates:
             if isinstance(update, Record) and update.status is Status.ALIVE and isinstance(send.packet.body, Gossip):
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,113 @@
+"""Deliberate errors in the detector, each a subclass of the real one. Every one must be caught by the invariants."""
+
+from __future__ import annotations
+
+import random
+
+from chutepin.cluster import Detector, Record, Status
+from chutepin.cluster.health import Health
+from chutepin.cluster.messages import Packet
+from chutepin.cluster.table import Member
+from chutepin.cluster.trials import Accusation
+from chutepin.cluster.view import View
+from chutepin.config.cluster import ClusterSetup
+
+
+class NoRefutation(Detector):
+    """It hears that it is accused and says nothing."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self.view.refute = lambda record: None  # type: ignore[method-assign]
+
+
+class IncarnationNotRaised(Detector):
+    """It refutes at the incarnation at which it stands accused."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self.view.raise_above = lambda incarnation: self.view.queue.add(self.view.me)  # type: ignore[method-assign]
+
+
+class NoHelpers(Detector):
+    """It asks directly only."""
+
+    def _helpers(self, subject: str) -> list[str]:
+        return []
+
+
+class _Sure(Health):
+    def worse(self, by: int = 1) -> None:
+        """Never in doubt of itself."""
+
+
+class NoLocalHealth(Detector):
+    """It takes its own pauses for the silence of others."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self.health = _Sure()
+
+    def _catch_up(self, now: float) -> None:
+        pass
+
+
+class _Chatterbox(View):
+    def repeats(self) -> int:
+        return 10**9
+
+
+class UnboundedRepeats(Detector):
+    """It tells everything for ever."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self.view = _Chatterbox(self.view.me, setup.members, setup.remember)
+
+
+class NoTimeToRefute(Detector):
+    """The first accusation is a verdict."""
+
+    def _deadline(self, accusation: Accusation) -> float:
+        accusation.verified = 2
+        return accusation.began
+
+
+class ForgetsTheDead(Detector):
+    """It never asks the dead again."""
+
+    def _wants_back(self) -> bool:
+        return False
+
+    def _join(self, now: float) -> None:
+        if not self.view.joined:
+            super()._join(now)
+
+
+class EveryLinkIsWell(Detector):
+    """It keeps to itself which links are bad."""
+
+    def _links(self, now: float, subject: str, reaches: bool, hears: bool | None) -> None:
+        pass
+
+
+class SlowToAccuse(Detector):
+    """It leaves an accused ten times as long."""
+
+    def _deadline(self, accusation: Accusation) -> float:
+        return accusation.began + 10 * (super()._deadline(accusation) - accusation.began)
+
+
+class TakesBackNews(Detector):
+    """It believes whoever spoke last, whatever the incarnation."""
+
+    def _take_updates(self, now: float, packet: Packet, sender: str, believed: bool) -> None:
+        super()._take_updates(now, packet, sender, believed)
+        for update in packet.updates:
+            member: Member | None = self.view.table.members.get(update.name) if isinstance(update, Record) else None
+            if member is not None and isinstance(update, Record) and update.status is Status.ALIVE:
+                member.record = update
+
+
+ALL: tuple[type[Detector], ...] = (
+    NoRefutation, IncarnationNotRaised, NoHelpers, NoLocalHealth, UnboundedRepeats, NoTimeToRefute, ForgetsTheDead, EveryLinkIsWell, SlowToAccuse, TakesBackNews)
