--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -544,7 +544,8 @@
             self._judge(now)
             if now >= self._next_probe:
                 # Drawn, lest members that began together go on probing at the same moments.
-                self._next_probe = now + self._setup.probe_every * self.health.stretch * (0.9 + 0.2 * self._rng.random())
+                drawn = 0.9 + 0.2 * self._rng.random()
+                self._next_probe = now + self._setup.probe_every * self.health.stretch * drawn
                 if (subject := self._turn()) is not None:
                     self._probe(now, subject, Why.ROUND)
             self._gossip(now)
@@ -636,7 +637,7 @@
             self._send(name, Gossip())
 
     def _wants_back(self) -> bool:
-        return bool(self.view.table.gone(Status.DEAD))
+        return bool(self.view.table.of(Status.DEAD))
 
     def _join(self, now: float) -> None:
         """Ask a seed that is not there, and one of the dead: so the sides of a cut find each other again."""
@@ -650,14 +651,14 @@
             self._sync(now, name, self._reach.get(name, address))
             if self.view.refused_by is not None:
                 self._next_join = now + 5 * self._setup.join_every
-        if self._active and (dead := self.view.table.gone(Status.DEAD)):
+        if self._active and (dead := self.view.table.of(Status.DEAD)):
             self._probe(now, self._rng.choice(dead), Why.BACK)
 
     def _keep_house(self, now: float) -> None:
         view = self.view
         view.age(now)
-        known = 1 + sum(member.record.status is not Status.LEFT for member in view.table.members.values())
-        hears = 1 + sum(member.record.status is Status.ALIVE for member in view.table.members.values())
+        known = 1 + len(view.table.members) - len(view.table.of(Status.LEFT))
+        hears = 1 + len(view.table.of(Status.ALIVE))
         if (isolated := 2 * hears < known) != self.isolated:
             self.isolated = isolated
             view.tell("isolated" if isolated else "in_touch", self.me.name, hears=hears, known=known)
--- a/chutepin/cluster/table.py
+++ b/chutepin/cluster/table.py
@@ -61,17 +61,26 @@
         self.members: dict[str, Member] = {}
         self.digest = 0  # of the live ones
         self.refused = 0  # names for which there was no room
-        self._live: list[str] | None = None
+        self._by_status: dict[Status, list[str]] | None = None
+        self._live: list[str] = []
 
     def live(self) -> list[str]:
         """Names of all that are alive or suspect. Not to be changed."""
-        if self._live is None:
-            self._live = [name for name, member in self.members.items() if member.record.live]
+        self._sorted()
         return self._live
 
-    def gone(self, *states: Status) -> list[str]:
-        """Names of those in these states."""
-        return [name for name, member in self.members.items() if member.record.status in states]
+    def of(self, status: Status) -> list[str]:
+        """Names of those in this state. Not to be changed."""
+        return self._sorted()[status]
+
+    def _sorted(self) -> dict[Status, list[str]]:
+        """Names by state; sorted out anew only after a change, so that a large table costs nothing in rest."""
+        if self._by_status is None:
+            self._by_status = {status: [] for status in Status}
+            for name, member in self.members.items():
+                self._by_status[member.record.status].append(name)
+            self._live = [name for name, member in self.members.items() if member.record.live]
+        return self._by_status
 
     def put(self, now: float, record: Record) -> Claim:
         """Take in a record, if it holds against the known one; HELD also where there is no room."""
@@ -100,13 +109,13 @@
         for record in (old, new):
             if record is not None and record.status in LIVE:
                 self.digest ^= digest_of(record)
-        self._live = None
+        self._by_status = None
 
     def _room(self, now: float) -> bool:
         """Whether a name fits, without the oldest of the gone if need be."""
         if len(self.members) < self._most:
             return True
-        gone = self.gone(Status.DEAD, Status.LEFT)
+        gone = self.of(Status.DEAD) + self.of(Status.LEFT)
         if not gone:
             return False
         self.drop(min(gone, key=lambda name: self.members[name].since))
@@ -118,5 +127,5 @@
 
     def aged(self, now: float) -> list[str]:
         """The gone that have been remembered long enough."""
-        return [name for name in self.gone(Status.DEAD, Status.LEFT)
+        return [name for name in self.of(Status.DEAD) + self.of(Status.LEFT)
                 if now - self.members[name].since > self._remember]
--- /dev/null
+++ b/chutepin/lab/baseline.py
@@ -0,0 +1,53 @@
+"""A plain failure detector for comparison: each tells each that it is alive; who was not heard for a fixed time is dead.
+
+It has the detector's interface, so that the simulator runs it under the same faults."""
+
+from __future__ import annotations
+
+import random
+
+from ..cluster.detector import Detector, Effect, Send
+from ..cluster.messages import Gossip, Packet
+from ..cluster.records import Status
+from ..config.cluster import ClusterSetup
+
+EVERY = 0.5  # seconds, as the probes of the detector
+DEAD_AFTER = 3.0  # seconds: the time in which the detector is to know of a crash
+
+
+class Heartbeats(Detector):
+    """Everybody to everybody."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self._next = now + EVERY * rng.random()
+
+    def receive(self, now: float, packet: Packet, stream: bool = False) -> None:
+        """Whoever is heard is alive."""
+        member = self.view.table.members.get(packet.me.name)
+        if member is None:
+            return
+        member.heard = now
+        if not member.record.live:
+            self.view.take(now, member.record._replace(
+                status=Status.ALIVE, incarnation=member.record.incarnation + 1, by=self.me.name))
+
+    def tick(self, now: float) -> None:
+        """Tell all, and look whom nobody has heard."""
+        self._next = now + EVERY
+        for name, member in self.view.table.members.items():
+            self._send(name, Gossip())
+            if member.record.live and now - max(member.heard, 0.0) > DEAD_AFTER:
+                self.view.take(now, member.record._replace(status=Status.DEAD, by=self.me.name))
+        for name in list(self.view.table.members):
+            self.view.queue.remove(self.view.table.members[name].record)
+
+    def wake_at(self) -> float:
+        """The next beat."""
+        return self._next
+
+    def take(self) -> list[Effect]:
+        """Beats carry no news."""
+        return [effect if not isinstance(effect, Send) else Send(effect.address, Packet(
+            effect.packet.to, effect.packet.me, effect.packet.life, effect.packet.number, 0, Gossip()))
+            for effect in super().take()]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -110,4 +110,5 @@
 
 
 ALL: tuple[type[Detector], ...] = (
-    NoRefutation, IncarnationNotRaised, NoHelpers, NoLocalHealth, UnboundedRepeats, NoTimeToRefute, ForgetsTheDead, EveryLinkIsWell, SlowToAccuse, TakesBackNews)
+    NoRefutation, IncarnationNotRaised, NoHelpers, NoLocalHealth, UnboundedRepeats, NoTimeToRefute, ForgetsTheDead,
+    EveryLinkIsWell, SlowToAccuse, TakesBackNews)
