--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -435,8 +435,8 @@
         if probe.why is Why.BACK:
             return
         view.counts["probes_lost"] += 1
-        if probe.helpers and probe.nacks < probe.helpers:
-            self.health.worse(1 if probe.nacks else 2)
+        if probe.helpers and not probe.nacks:  # not one helper was heard: some of them may be dead, but all?
+            self.health.worse()
         if probe.why is Why.ROUND:
             self._accuse(now, subject)
 
@@ -463,8 +463,9 @@
     def _deadline(self, accusation: Accusation) -> float:
         member = self.view.table.members[accusation.subject]
         others = sum(by != self.me.name for by in member.accusers)
-        return accusation.began + self.health.stretch * suspicion_time(
-            self._setup.suspect_least, self._setup.suspect_most, self.view.members, others)
+        least = suspicion_time(self._setup.suspect_least, self._setup.suspect_most, self.view.members, others)
+        # Doubt of oneself stretches it, but not past the time after which even one that hears nobody makes up its mind.
+        return accusation.began + max(least, min(self.health.stretch * least, self._setup.alone))
 
     def _hold(self, now: float, accusation: Accusation) -> None:
         """Test an accused again, or judge it once its time is up."""
--- a/chutepin/cluster/subsystem.py
+++ b/chutepin/cluster/subsystem.py
@@ -42,6 +42,7 @@
         self._changes: deque[tuple[int, float, Tell]] = deque(maxlen=CHANGES)
         self._numbered = 0
         self._wanted = asyncio.Event()  # the process serves
+        self._yielded = asyncio.Event()  # a successor does
         self._active = False  # and takes part
         self._left = False
 
@@ -61,47 +62,52 @@
 
     async def run(self) -> None:
         """Join, and work until cancelled. An address that another one holds is asked for again."""
-        await self._wanted.wait()
+        try:
+            while True:
+                await self._wanted.wait()
+                await self._open()
+                self._active = True
+                self._log.event("cluster.serves", name=self._setup.name, member=self._name,
+                                incarnation=self._detector.me.incarnation)
+                self._tick()
+                await self._yielded.wait()
+        finally:
+            self._rest()
+            self._transport.close()
+
+    async def _open(self) -> None:
         told = False
-        while not self._active:
+        while True:
             try:
                 await self._transport.open()
-                self._active = True
+                return
             except OSError as error:
                 if not told:
                     told = True
                     self._log.event("cluster.listen_failed", why=error.strerror or str(error),
                                     listen=f"{self._setup.listen.host}:{self._setup.listen.port}")
                 await asyncio.sleep(AGAIN)
-        try:
-            self._log.event("cluster.serves", name=self._setup.name, member=self._name,
-                            incarnation=self._detector.me.incarnation)
-            self._tick()
-            await asyncio.Event().wait()
-        finally:
-            if self._timer is not None:
-                self._timer.cancel()
-            self._transport.close()
 
-    def yields(self) -> None:
-        """The successor speaks for this member from now on."""
+    def _rest(self) -> None:
+        """Speak no more."""
         self._active = False
-        self._transport.pause()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
+    def yields(self) -> None:
+        """The successor speaks for this member from now on."""
+        self._rest()
+        self._transport.pause()
+        self._wanted.clear()
+        self._yielded.set()
+
     def takes_back(self) -> None:
         """Speak again, in a life after the successor's."""
-        if not self._wanted.is_set() or self._left:
-            return
-        self._detector.begin_anew(time.monotonic(), time.time_ns() // 1_000_000)
-        asyncio.get_running_loop().create_task(self._reopen()).add_done_callback(lambda task: task.exception())
-
-    async def _reopen(self) -> None:
-        await self._transport.open()
-        self._active = True
-        self._tick()
+        if not self._left:
+            self._detector.begin_anew(time.monotonic(), time.time_ns() // 1_000_000)
+            self._yielded.clear()
+            self._wanted.set()
 
     def leave(self) -> None:
         """Say goodbye; what is asked until the process ends is answered."""
--- a/chutepin/cluster/transport.py
+++ b/chutepin/cluster/transport.py
@@ -8,7 +8,8 @@
 import contextlib
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from ..admission import Acceptor, Ledger, Share, Welcome
 from ..config import Address
@@ -19,6 +20,7 @@
 
 PART = "cluster"  # in the ledger of descriptors
 OUT = 4  # exchanges that this member begins, at once
+MOST_SERVED = 50  # exchanges that others begin, in a second: each may cost milliseconds in a large cluster
 BY = 3.0  # seconds in which an exchange must be over
 PIECE = 65536  # bytes read at a time
 READS = 64  # datagrams in a turn of the loop, so that the front has its turn in between
@@ -51,6 +53,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._out = 0
         self._slice, self._read, self._unpacked = 0.0, 0, 0
+        self._second, self._served = 0.0, 0
         self._paused: asyncio.TimerHandle | None = None
         self._logged: dict[str, tuple[float, int]] = {}  # by reason: when it was logged, how many since
         self._open = False
@@ -199,13 +202,17 @@
 
     def admits(self, address: bytes, short: bool) -> Welcome:
         """There is room, beside what this member may begin itself."""
-        if short or self._ledger.free(PART) <= OUT - self._out:
+        now = time.monotonic()
+        if now >= self._second + 1.0:
+            self._second, self._served = now, 0
+        if short or self._served >= MOST_SERVED or self._ledger.free(PART) <= OUT - self._out:
             self._counters.add("cluster.refused_connections")
             return Welcome.DROP
         return Welcome.SERVE
 
     def serve(self, sock: socket.socket, address: bytes) -> None:
         """Answer one exchange."""
+        self._served += 1
         self._ledger.parts[PART].held += 1
         self._spawn(sock, self._answer(sock))
 
@@ -221,8 +228,8 @@
     def _asked(self, _: asyncio.Task[None]) -> None:
         self._out -= 1
 
-    def _spawn(self, sock: socket.socket, work: object) -> asyncio.Task[None]:
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
+    def _spawn(self, sock: socket.socket, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
 
         def ended(task: asyncio.Task[None]) -> None:
--- a/chutepin/lab/faults.py
+++ b/chutepin/lab/faults.py
@@ -69,10 +69,17 @@
 def load_schedule(text: str) -> Schedule:
     """The schedule of a file's text. Raises ValueError naming what is wrong."""
     raw: dict[str, Any] = json.loads(text)
+    zones = Schedule(int(raw["members"]), 0.0, zones=int(raw.get("zones", 3)))
+
+    def named(words: Iterable[str]) -> tuple[str, ...]:
+        """`zone:a` stands for all members of that zone."""
+        return tuple(name for word in words for name in (
+            [name for name in zones.names() if zones.zone(name) == word[5:]] if word.startswith("zone:") else [word]))
+
     faults = []
     for number, fault in enumerate(raw.pop("faults", [])):
-        made = Fault(float(fault["at"]), str(fault["what"]), tuple(fault.get("members", ())),
-                     float(fault.get("value", 0.0)), tuple(map(tuple, fault.get("groups", ()))))
+        made = Fault(float(fault["at"]), str(fault["what"]), named(fault.get("members", ())),
+                     float(fault.get("value", 0.0)), tuple(map(named, fault.get("groups", ()))))
         if made.what not in KINDS:
             raise ValueError(f"faults[{number}].what: {made.what} is not one of {', '.join(sorted(KINDS))}")
         faults.append(made)
--- a/chutepin/lab/fleet.py
+++ b/chutepin/lab/fleet.py
@@ -13,9 +13,10 @@
 import struct
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from pathlib import Path
+from typing import Any
 
 from .faults import Fault, Schedule
 from .history import History, Seen, Shown, Truth
@@ -191,8 +192,8 @@
         self.history.seen.sort(key=lambda seen: seen.at)
         self.history.shown.sort(key=lambda shown: shown.at)
 
-    def _spawn(self, work: object) -> asyncio.Task[None]:
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
