--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -233,12 +233,13 @@
 
 
 def test_a_zone_stands_for_its_members_and_a_bad_schedule_says_what_is_wrong() -> None:
-    schedule = load_schedule('{"members": 5, "seconds": 9, "faults": [{"at": 1, "what": "stop", "members": ["zone:a"]}]}')
+    text = '{"members": 5, "seconds": 9, "faults": %s}'
+    schedule = load_schedule(text.replace("%s", '[{"at": 1, "what": "stop", "members": ["zone:a"]}]'))
     assert schedule.faults[0].members == ("n1", "n4")
-    for text, wrong in (('[{"at": 1, "what": "burn"}]', "burn is not one of"),
-                        ('[{"at": 1, "what": "stop", "members": ["n9"]}]', "no such members: n9")):
+    for faults, wrong in (('[{"at": 1, "what": "burn"}]', "burn is not one of"),
+                          ('[{"at": 1, "what": "stop", "members": ["n9"]}]', "no such members: n9")):
         with pytest.raises(ValueError, match=wrong):
-            load_schedule('{"members": 5, "seconds": 9, "faults": %s}' % text)
+            load_schedule(text.replace("%s", faults))
 
 
 CAUGHT: dict[type[Detector], tuple[str, str]] = {
