--- /dev/null
+++ b/chutepin/agree/core.py
@@ -0,0 +1,447 @@
+"""Consensus: Raft's mechanism with pre-vote, check-quorum, one change of voters at a time, reads and handing over.
+
+Pure: no clock, no file, no socket, no chance of its own. It holds the log in memory; what must be durable, sent and
+applied comes out of `take` in an order that has a meaning: nothing behind a `Persist` may be done before it is
+durable."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from .messages import (
+    Append,
+    Appended,
+    Apply,
+    Ask,
+    Begin,
+    Effect,
+    Entry,
+    Kind,
+    Message,
+    Persist,
+    Readable,
+    Send,
+    Vote,
+    Voters,
+)
+
+
+class Role(IntEnum):
+    """What a member is at the moment."""
+
+    FOLLOWER = 0
+    WOULD = 1  # asks whether it would win
+    CANDIDATE = 2
+    LEADER = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """Seconds, and bytes."""
+
+    election: float = 1.0  # without a leader before a vote is asked for; up to twice that, drawn
+    heartbeat: float = 0.2
+    in_flight: int = 256 * 1024  # bytes of entries that a follower has not acknowledged
+    piece: int = 64 * 1024  # bytes of entries in one message
+
+
+@dataclass(slots=True)
+class Durable:
+    """What survives a crash."""
+
+    term: int = 0
+    vote: str = ""
+    entries: list[Entry] = field(default_factory=list)  # entry i stands at i - 1
+
+    def persist(self, change: Persist) -> None:
+        """Take in what has become durable."""
+        self.term, self.vote = change.term, change.vote
+        if change.entries:
+            self.entries[change.first - 1:] = change.entries
+
+
+@dataclass(slots=True)
+class Progress:
+    """What a leader knows of one follower."""
+
+    next: int
+    match: int = 0
+    probing: bool = True  # where its log ends is not known: one message at a time
+    flying: list[tuple[int, int]] = field(default_factory=list)  # (last index, bytes) of messages not yet answered
+    heard: float = -math.inf
+    round: int = 0  # of heartbeats that it has answered
+
+
+class RefusedError(Exception):
+    """It was not taken, and never will be under this call; the message says why, `leader` who may take it."""
+
+    def __init__(self, why: str, leader: str = "") -> None:
+        super().__init__(why)
+        self.leader = leader
+
+
+class Core:
+    """One member."""
+
+    def __init__(self, name: str, first: Voters, durable: Durable, now: float, rng: random.Random,
+                 times: Times = Times()) -> None:
+        """`first`: who votes before any entry says otherwise; the same on all. `durable` is read, not kept."""
+        self.name, self._first, self._rng, self._times = name, first, rng, times
+        self.term, self.vote = durable.term, durable.vote
+        self.log: list[Entry] = list(durable.entries)
+        self.role, self.leader = Role.FOLLOWER, ""
+        self.commit = self.applied = 0
+        self.members = self._members_of_log()
+        self._votes: set[str] = set()
+        self._progress: dict[str, Progress] = {}
+        self._round = 0
+        self._reads: list[tuple[int, int, int]] = []  # (id, index, round that must be answered)
+        self._handing = ""  # to whom
+        self._handing_until = math.inf
+        self._heard_leader = -math.inf
+        self._election_at = now + self._drawn()
+        self._heartbeat_at = math.inf
+        self._effects: list[Effect] = []
+
+    # --- in and out ---
+
+    def take(self) -> list[Effect]:
+        """What is to be done since the last time, in order."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def wake_at(self) -> float:
+        """When `tick` is due."""
+        return min(self._heartbeat_at, self._election_at)
+
+    @property
+    def last(self) -> int:
+        """The index of the last entry; 0 for none."""
+        return len(self.log)
+
+    def term_at(self, index: int) -> int:
+        """The term of an entry; 0 before the first."""
+        return self.log[index - 1].term if 0 < index <= len(self.log) else 0
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        if now >= self._heartbeat_at:
+            self._heartbeat_at = now + self._times.heartbeat
+            self._beat()
+        if now < self._election_at:
+            return
+        if self.role is Role.LEADER:
+            self._election_at = now + self._times.election
+            if now > self._handing_until:
+                self._handing, self._handing_until = "", math.inf
+            if self.name not in self.members.voters or not self._hears_majority(now):
+                self._follow(now, self.term, "")
+        else:
+            self._election_at = now + self._drawn()
+            if self.name in self.members.voters:
+                self._campaign(now, Role.WOULD, False)
+
+    def propose(self, now: float, data: bytes) -> int:
+        """Put something to be agreed into the log; its index. It is agreed once it comes out as `Apply` at that index
+        with this term; where the leader changes first, it may be or not. Raises RefusedError."""
+        self._must_lead()
+        return self._add(Entry(self.last + 1, self.term, Kind.PROPOSAL, data))
+
+    def change(self, now: float, members: Voters) -> int:
+        """Change who takes part: learners at will, voters one at a time. Raises RefusedError."""
+        self._must_lead()
+        if self.term_at(self.commit) != self.term:
+            raise RefusedError("nothing of this term is agreed yet", self.name)
+        if any(entry.kind is Kind.VOTERS for entry in self.log[self.commit:]):
+            raise RefusedError("another change of voters is under way", self.name)
+        if len(set(members.voters) ^ set(self.members.voters)) > 1:
+            raise RefusedError("one voter at a time", self.name)
+        if not members.voters:
+            raise RefusedError("nobody would vote", self.name)
+        for name in set(members.voters) - set(self.members.voters):
+            progress = self._progress.get(name)
+            if progress is None or progress.match < self.commit:
+                raise RefusedError(f"{name} has not caught up as a learner", self.name)
+        return self._add(Entry(self.last + 1, self.term, Kind.VOTERS, members=members))
+
+    def read(self, now: float, id: int) -> None:
+        """Ask for an index at which a read sees all that was agreed before it; `Readable` tells it. Raises
+        RefusedError."""
+        self._must_lead()
+        if self.term_at(self.commit) != self.term:
+            raise RefusedError("nothing of this term is agreed yet", self.name)
+        self._beat()
+        self._reads.append((id, self.commit, self._round))
+        self._answer_reads()
+
+    def hand_over(self, now: float, to: str) -> None:
+        """Bring `to` up to date and have it elected; proposals are refused meanwhile, for an election time at the most.
+        Raises RefusedError."""
+        self._must_lead()
+        if to == self.name or to not in self.members.voters:
+            raise RefusedError(f"{to} is no other voter", self.name)
+        self._handing, self._handing_until = to, now + self._times.election
+        self._hand()
+
+    def receive(self, now: float, sender: str, message: Message) -> None:
+        """Take in a message."""
+        if isinstance(message, Ask) and self._ignores(now, sender, message):
+            return
+        raises = not (isinstance(message, Ask) and message.pre) and not (
+            isinstance(message, Vote) and message.pre and message.granted)
+        if message.term > self.term and raises:
+            self._follow(now, message.term, "")
+        match message:
+            case Ask():
+                self._asked(now, sender, message)
+            case Vote():
+                self._voted(now, sender, message)
+            case Append():
+                self._append(now, sender, message)
+            case Appended() if message.term == self.term and self.role is Role.LEADER:
+                self._appended(now, sender, message)
+            case Begin() if message.term == self.term and self.name in self.members.voters:
+                self._campaign(now, Role.CANDIDATE, True)
+            case _:
+                pass  # an answer to what is over
+
+    # --- elections ---
+
+    def _drawn(self) -> float:
+        return self._times.election * (1 + self._rng.random())
+
+    def _majority(self) -> int:
+        return len(self.members.voters) // 2 + 1
+
+    def _ignores(self, now: float, sender: str, ask: Ask) -> bool:
+        """Whoever hears a leader does not vote against it, unless the leader itself hands over."""
+        if ask.handed:
+            return False
+        leads = self.role is Role.LEADER and self._hears_majority(now)
+        return leads or (self.leader != "" and now < self._heard_leader + self._times.election)
+
+    def _hears_majority(self, now: float) -> bool:
+        heard = sum(name == self.name or self._progress[name].heard > now - self._times.election
+                    for name in self.members.voters)
+        return heard >= self._majority()
+
+    def _follow(self, now: float, term: int, leader: str) -> None:
+        """Be a follower in a term."""
+        if term > self.term:
+            self.term, self.vote = term, ""
+            self._persist()
+        if self.role is Role.LEADER:
+            for id, _, _ in self._reads:
+                self._effects.append(Readable(id, -1))
+            self._reads.clear()
+            self._handing, self._handing_until = "", math.inf
+        self.role, self.leader = Role.FOLLOWER, leader
+        self._heartbeat_at, self._election_at = math.inf, now + self._drawn()
+
+    def _campaign(self, now: float, role: Role, handed: bool) -> None:
+        self.role, self.leader = role, ""
+        self._heartbeat_at, self._election_at = math.inf, now + self._drawn()
+        term = self.term + 1
+        if role is Role.CANDIDATE:
+            self.term, self.vote = term, self.name
+            self._persist()
+        self._votes = {self.name}
+        for name in self.members.voters:
+            if name != self.name:
+                self._say(name, Ask(term, self.last, self.term_at(self.last), role is Role.WOULD, handed))
+        self._count(now)
+
+    def _asked(self, now: float, sender: str, ask: Ask) -> None:
+        upto_date = (ask.last_term, ask.last_index) >= (self.term_at(self.last), self.last)
+        if ask.pre:
+            self._say(sender, Vote(ask.term if upto_date and ask.term > self.term else self.term, True,
+                                   upto_date and ask.term > self.term))
+            return
+        granted = ask.term == self.term and self.vote in ("", sender) and upto_date and self.role is Role.FOLLOWER
+        if granted and self.vote != sender:
+            self.vote = sender
+            self._persist()
+        if granted:
+            self._election_at = now + self._drawn()
+        self._say(sender, Vote(self.term, False, granted))
+
+    def _voted(self, now: float, sender: str, vote: Vote) -> None:
+        wanted = (Role.WOULD, self.term + 1) if vote.pre else (Role.CANDIDATE, self.term)
+        if vote.granted and (self.role, vote.term) == wanted and sender in self.members.voters:
+            self._votes.add(sender)
+            self._count(now)
+
+    def _count(self, now: float) -> None:
+        """Whether the votes are enough."""
+        if len(self._votes & set(self.members.voters)) < self._majority():
+            return
+        if self.role is Role.WOULD:
+            self._campaign(now, Role.CANDIDATE, False)
+        elif self.role is Role.CANDIDATE:
+            self._lead(now)
+
+    def _lead(self, now: float) -> None:
+        self.role, self.leader = Role.LEADER, self.name
+        self._progress = {name: Progress(self.last + 1, heard=now) for name in self.members.everybody}
+        self._round = 0
+        self._heartbeat_at, self._election_at = now + self._times.heartbeat, now + self._times.election
+        self._add(Entry(self.last + 1, self.term, Kind.EMPTY))
+
+    # --- the log ---
+
+    def _persist(self, first: int = 0) -> None:
+        entries = tuple(self.log[first - 1:]) if first else ()
+        self._effects.append(Persist(self.term, self.vote, first, entries))
+
+    def _members_of_log(self) -> Voters:
+        """The last change of voters in the log holds from the moment that it stands there, agreed or not."""
+        for entry in reversed(self.log):
+            if entry.members is not None:
+                return entry.members
+        return self._first
+
+    def _must_lead(self) -> None:
+        if self.role is not Role.LEADER:
+            raise RefusedError("not the leader", self.leader)
+        if self._handing:
+            raise RefusedError("the leader hands over", self._handing)
+
+    def _add(self, entry: Entry) -> int:
+        """A leader's own entry. The followers may have it before it is durable here: its effects stand behind."""
+        self.log.append(entry)
+        if entry.members is not None:
+            self.members = entry.members
+            for name in entry.members.everybody:
+                self._progress.setdefault(name, Progress(entry.index))
+            for name in set(self._progress) - set(entry.members.everybody):
+                del self._progress[name]
+        for name in self._progress:
+            self._replicate(name)
+        self._persist(entry.index)
+        self._advance()
+        return entry.index
+
+    def _beat(self) -> None:
+        """A round of heartbeats. Each carries what its follower has room for."""
+        self._round += 1
+        for name, progress in self._progress.items():
+            if name != self.name:
+                progress.flying.clear()  # what was not answered by now is sent again
+                self._replicate(name, beat=True)
+
+    def _replicate(self, name: str, beat: bool = False) -> None:
+        """Send a follower what it lacks, within its room; with `beat` also if that is nothing."""
+        if name == self.name:
+            return
+        progress = self._progress[name]
+        while True:
+            entries: list[Entry] = []
+            size = 0
+            room = self._times.in_flight - sum(part for _, part in progress.flying)
+            for entry in self.log[progress.next - 1:]:
+                cost = len(entry.data) + 32
+                if entries and size + cost > min(room, self._times.piece):
+                    break
+                if room <= 0:
+                    break
+                entries.append(entry)
+                size += cost
+            if not beat and (not entries or (progress.probing and progress.flying)):
+                return
+            self._say(name, Append(self.term, progress.next - 1, self.term_at(progress.next - 1), tuple(entries),
+                                   self.commit, self._round))
+            beat = False
+            if entries:
+                progress.flying.append((entries[-1].index, size))
+                if not progress.probing:
+                    progress.next = entries[-1].index + 1
+            if progress.probing or not entries:
+                return
+
+    def _append(self, now: float, sender: str, message: Append) -> None:
+        if message.term < self.term:
+            self._say(sender, Appended(self.term, False, self.last, message.round))
+            return
+        if self.role is not Role.FOLLOWER or self.leader != sender:
+            self._follow(now, message.term, sender)
+        self._heard_leader, self._election_at = now, now + self._drawn()
+        prev = message.prev_index
+        if prev > self.last or self.term_at(prev) != message.prev_term:
+            hint = min(self.last, prev - 1)
+            bad = self.term_at(hint + 1)
+            while bad and hint > self.commit and self.term_at(hint) == bad:
+                hint -= 1  # no entry of a term that has conflicted is worth a try
+            self._say(sender, Appended(self.term, False, max(hint, self.commit), message.round))
+            return
+        for entry in message.entries:
+            if self.term_at(entry.index) != entry.term:
+                assert entry.index > self.commit, "an agreed entry would be replaced"
+                self.log[entry.index - 1:] = message.entries[entry.index - prev - 1:]
+                self.members = self._members_of_log()
+                self._persist(entry.index)
+                break
+        match = prev + len(message.entries)
+        self._say(sender, Appended(self.term, True, match, message.round))
+        self._commit(min(message.commit, match))
+
+    def _appended(self, now: float, sender: str, message: Appended) -> None:
+        progress = self._progress.get(sender)
+        if progress is None:
+            return
+        progress.heard, progress.round = now, max(progress.round, message.round)
+        if message.ok:
+            progress.probing = False
+            progress.match = max(progress.match, message.match)
+            progress.next = max(progress.next, progress.match + 1)
+            progress.flying = [part for part in progress.flying if part[0] > progress.match]
+            self._advance()
+            self._hand()
+        elif message.match >= progress.match:
+            progress.probing, progress.next = True, min(max(progress.match, message.match) + 1, self.last + 1)
+            progress.flying.clear()
+        self._replicate(sender)
+        self._answer_reads()
+
+    def _advance(self) -> None:
+        """What a majority has is agreed, if it is of this term; what stands before it is with it."""
+        matches = sorted(self.last if name == self.name else self._progress[name].match for name in self.members.voters)
+        agreed = matches[len(matches) - self._majority()]
+        if agreed > self.commit and self.term_at(agreed) == self.term:
+            self._commit(agreed)
+            if self.name not in self.members.voters and not any(
+                    entry.kind is Kind.VOTERS for entry in self.log[self.commit:]):
+                self._beat()  # the others hear that it is agreed; then it steps down
+                self._election_at = -math.inf
+
+    def _commit(self, index: int) -> None:
+        if index <= self.commit:
+            return
+        self.commit = index
+        self._effects.append(Apply(tuple(self.log[self.applied:index])))
+        self.applied = index
+
+    # --- reads, handing over ---
+
+    def _answer_reads(self) -> None:
+        """A majority has answered a round that began after the read was asked for: nobody else led before that."""
+        if not self._reads:
+            return
+        rounds = sorted(self._round if name == self.name else self._progress[name].round
+                        for name in self.members.voters)
+        sure = rounds[len(rounds) - self._majority()]
+        for id, index, round in self._reads:
+            if round <= sure:
+                self._effects.append(Readable(id, index))
+        self._reads = [read for read in self._reads if read[2] > sure]
+
+    def _hand(self) -> None:
+        """Have the successor begin, once it has everything."""
+        progress = self._progress.get(self._handing)
+        if progress is not None and progress.match == self.last:
+            self._say(self._handing, Begin(self.term))
+
+    def _say(self, to: str, message: Message) -> None:
+        self._effects.append(Send(to, message))
--- /dev/null
+++ b/chutepin/agree/messages.py
@@ -0,0 +1,120 @@
+"""What voters say to each other and what the core wants done, as data."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class Kind(IntEnum):
+    """What an entry is."""
+
+    EMPTY = 0  # of a new leader: commits what came before it
+    PROPOSAL = 1
+    VOTERS = 2  # a change of who votes and who learns
+
+
+class Voters(NamedTuple):
+    """Who takes part. Learners are sent everything and do not vote."""
+
+    voters: tuple[str, ...]
+    learners: tuple[str, ...] = ()
+
+    @property
+    def everybody(self) -> tuple[str, ...]:
+        """Voters and learners."""
+        return self.voters + self.learners
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One entry of the log. `members` only of a change of voters."""
+
+    index: int
+    term: int
+    kind: Kind
+    data: bytes = b""
+    members: Voters | None = None
+
+
+class Ask(NamedTuple):
+    """Vote for me. `pre`: would you? `handed`: the leader told me to begin."""
+
+    term: int
+    last_index: int
+    last_term: int
+    pre: bool
+    handed: bool
+
+
+class Vote(NamedTuple):
+    """The answer to an Ask."""
+
+    term: int
+    pre: bool
+    granted: bool
+
+
+class Append(NamedTuple):
+    """A leader's entries after (`prev_index`, `prev_term`), and how far all is committed; also its heartbeat. `round`
+    numbers its rounds of heartbeats."""
+
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+
+
+class Appended(NamedTuple):
+    """The answer: all up to `match` is there and durable; or, where `ok` is false, look at `match` next."""
+
+    term: int
+    ok: bool
+    match: int
+    round: int
+
+
+class Begin(NamedTuple):
+    """The leader hands over: begin an election at once."""
+
+    term: int
+
+
+Message = Ask | Vote | Append | Appended | Begin
+
+
+class Send(NamedTuple):
+    """A message for another member."""
+
+    to: str
+    message: Message
+
+
+class Persist(NamedTuple):
+    """Make this durable before anything behind it is done: term and vote, and the log from `first` on, which replaces
+    what stood there."""
+
+    term: int
+    vote: str
+    first: int
+    entries: tuple[Entry, ...]
+
+
+class Apply(NamedTuple):
+    """These entries are agreed, in this order."""
+
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Readable:
+    """A read may be answered once all up to `index` is applied; or (`index` -1) ask elsewhere."""
+
+    id: int
+    index: int
+
+
+Effect = Send | Persist | Apply | Readable
--- /dev/null
+++ b/chutepin/lab/explorer.py
@@ -0,0 +1,316 @@
+"""Model checking of the consensus core: the real text, driven through interleavings of a small scope.
+
+A step is one input to one member (a message that comes, an election that begins, a heartbeat, a proposal, a change of
+voters, a restart) with all effects that follow, or with a crash after some of them. A message may come late, never or
+twice. Between two members there is no order. As a member's effects are seen by nobody before they are carried out,
+that covers all interleavings; what a member does while a write is under way amounts to the message being lost in the
+crash."""
+
+from __future__ import annotations
+
+import copy
+import itertools
+import random
+import time
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from ..agree.core import Core, Durable, RefusedError, Role, Times
+from ..agree.messages import Apply, Effect, Entry, Message, Persist, Send, Voters
+
+Packet = tuple[str, str, Message]  # to, from, what
+# Time stands still: nothing may rest on it here. One entry a message: so old entries arrive without newer ones.
+NO_LEASE = Times(election=0.0, heartbeat=0.0, piece=1)
+
+
+class _Zero(random.Random):
+    """No chance: all that chance decides in the core are times."""
+
+    def random(self) -> float:
+        return 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """How much may happen in one run."""
+
+    voters: int = 3
+    elections: int = 2
+    proposals: int = 1
+    beats: int = 0
+    crashes: int = 0
+    twice: int = 0  # messages that come a second time
+    changes: tuple[Voters, ...] = ()
+
+
+class BrokenError(Exception):
+    """An invariant does not hold."""
+
+
+class World:
+    """All members, what is on the way, and what was ever agreed."""
+
+    def __init__(self, scope: Scope, make: type[Core] = Core) -> None:
+        self.left, self._make = scope, make
+        self.names = [f"v{number}" for number in range(1, scope.voters + 1)]
+        self.first = Voters(tuple(self.names))
+        extra = sorted({name for change in scope.changes for name in change.everybody} - set(self.names))
+        self.durable = {name: Durable() for name in self.names + extra}
+        self.cores: dict[str, Core | None] = {name: self._begin(name) for name in self.durable}
+        self.network: tuple[Packet, ...] = ()
+        self.leaders: dict[int, str] = {}
+        self.agreed: tuple[Entry, ...] = ()
+
+    def _begin(self, name: str) -> Core:
+        return self._make(name, self.first, self.durable[name], 0.0, _Zero(), NO_LEASE)
+
+    def copy(self) -> World:
+        """The same world, to go on with."""
+        other = copy.copy(self)
+        other.durable = {name: Durable(d.term, d.vote, d.entries[:]) for name, d in self.durable.items()}
+        other.cores = {name: None if core is None else _cloned(core) for name, core in self.cores.items()}
+        other.leaders = dict(self.leaders)
+        return other
+
+    # --- steps ---
+
+    def steps(self) -> Iterator[tuple[str, ...]]:
+        """All that may happen next."""
+        for number in range(len(self.network)):
+            if self.network[number] in self.network[:number]:
+                continue
+            if self.cores[self.network[number][0]] is not None:
+                yield ("deliver", str(number))
+                if self.left.twice:
+                    yield ("twice", str(number))
+        for name, core in self.cores.items():
+            if core is None:
+                yield ("restart", name)
+                continue
+            yield from self._of(name, core)
+
+    def _of(self, name: str, core: Core) -> Iterator[tuple[str, ...]]:
+        """What a member that runs may do by itself."""
+        if core.role is not Role.LEADER:
+            if self.left.elections and name in core.members.voters:
+                yield ("elect", name)
+            return
+        if self.left.beats:
+            yield ("beat", name)
+        if self.left.proposals:
+            yield ("propose", name)
+        if self.left.changes:
+            yield ("change", name)
+
+    def take(self, step: tuple[str, ...], done: int | None = None) -> int:
+        """Make a step. `done`: crash after so many of its effects. How many effects it has; raises BrokenError."""
+        what, which = step
+        name = which
+        if what in ("deliver", "twice"):
+            to, sender, message = self.network[int(which)]
+            if what == "deliver":
+                self.network = self.network[:int(which)] + self.network[int(which) + 1:]
+            else:
+                self.left = replace(self.left, twice=self.left.twice - 1)
+            name = to
+            self._core(name).receive(0.0, sender, message)
+        elif what == "restart":
+            self.cores[name] = self._begin(name)
+        else:
+            self._act(what, name)
+        effects = self._core(name).take()
+        for effect in effects if done is None else effects[:done]:
+            self._carry_out(name, effect)
+        if done is not None:
+            self.left = replace(self.left, crashes=self.left.crashes - 1)
+            self.cores[name] = None
+        self._check(name)
+        return len(effects)
+
+    def _core(self, name: str) -> Core:
+        core = self.cores[name]
+        assert core is not None
+        return core
+
+    def _act(self, what: str, name: str) -> None:
+        core = self._core(name)
+        match what:
+            case "elect":  # pre-vote only keeps elections from being held, which safety must not need
+                self.left = replace(self.left, elections=self.left.elections - 1)
+                core._campaign(0.0, Role.CANDIDATE, False)
+            case "beat":
+                self.left = replace(self.left, beats=self.left.beats - 1)
+                core._beat()
+            case "propose":
+                self.left = replace(self.left, proposals=self.left.proposals - 1)
+                core.propose(0.0, b"%d" % self.left.proposals)
+            case _:
+                change, *rest = self.left.changes
+                self.left = replace(self.left, changes=tuple(rest))
+                try:
+                    core.change(0.0, change)
+                except RefusedError:
+                    pass
+
+    def _carry_out(self, name: str, effect: Effect) -> None:
+        match effect:
+            case Persist():
+                self.durable[name].persist(effect)
+            case Send():
+                self.network = tuple(sorted((*self.network, (effect.to, name, effect.message)), key=repr))
+            case Apply():
+                self._applied(name, effect.entries)
+            case _:
+                pass
+
+    # --- invariants ---
+
+    def _applied(self, name: str, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            known = self.agreed[entry.index - 1] if entry.index <= len(self.agreed) else None
+            if known is not None and known != entry:
+                raise BrokenError(f"{name} applies {entry}, agreed was {known}")
+            if known is None:
+                if entry.index != len(self.agreed) + 1:
+                    raise BrokenError(f"{name} applies {entry.index}, agreed is up to {len(self.agreed)}")
+                self.agreed = (*self.agreed, entry)
+
+    def _check(self, name: str) -> None:
+        core = self.cores[name]
+        if core is None:
+            return
+        if core.role is Role.LEADER:
+            other = self.leaders.setdefault(core.term, name)
+            if other != name:
+                raise BrokenError(f"{other} and {name} lead in term {core.term}")
+            if tuple(core.log[:len(self.agreed)]) != self.agreed and core.term >= max(self.leaders):
+                raise BrokenError(f"{name} leads in term {core.term} without an agreed entry")
+        for other_core in self.cores.values():
+            if other_core is not None and other_core is not core:
+                _match(core, other_core)
+
+    def key(self) -> tuple[object, ...]:
+        """What makes this world differ from another one; alike under other names of the first voters."""
+        return min(self._key(order) for order in itertools.permutations(self.names)) if not self.left.changes \
+            else self._key(tuple(self.names))
+
+    def _key(self, order: tuple[str, ...]) -> tuple[object, ...]:
+        new = {name: f"v{number}" for number, name in enumerate(order, 1)}
+        cores = tuple(sorted((new.get(name, name), _state(core, self.durable[name], new))
+                             for name, core in self.cores.items()))
+        network = tuple(sorted(repr((new.get(to, to), new.get(sender, sender), message))
+                               for to, sender, message in self.network))
+        left = (self.left.elections, self.left.proposals, self.left.beats, self.left.crashes, self.left.twice,
+                len(self.left.changes))
+        leaders = tuple(sorted((term, new.get(name, name)) for term, name in self.leaders.items()))
+        return cores, network, left, leaders, repr(self.agreed)
+
+
+def _match(a: Core, b: Core) -> None:
+    """Where two logs have an entry of one index and term they are the same up to there."""
+    for index in range(min(a.last, b.last), 0, -1):
+        if a.term_at(index) == b.term_at(index):
+            if a.log[:index] != b.log[:index]:
+                raise BrokenError(f"the logs of {a.name} and {b.name} differ before {index}")
+            return
+
+
+def _state(core: Core | None, durable: Durable, new: dict[str, str]) -> str:
+    kept = (durable.term, new.get(durable.vote, durable.vote), durable.entries)
+    if core is None:
+        return repr(kept)
+    progress = sorted((new.get(name, name), p.next, p.match, p.probing, p.flying, p.round)
+                      for name, p in core._progress.items()) if core.role is Role.LEADER else ()
+    votes = sorted(new.get(name, name) for name in core._votes) if core.role is Role.CANDIDATE else ()
+    return repr((kept, core.term, new.get(core.vote, core.vote), core.log, core.role, core.commit, progress, votes))
+
+
+def _cloned(core: Core) -> Core:
+    other = copy.copy(core)
+    other.log, other._votes, other._reads, other._effects = core.log[:], set(core._votes), core._reads[:], []
+    other._progress = {name: replace(progress, flying=progress.flying[:]) for name, progress in core._progress.items()}
+    return other
+
+
+@dataclass(slots=True)
+class Explored:
+    """What came of it."""
+
+    states: int = 0
+    steps: int = 0
+    depth: int = 0
+    seconds: float = 0.0
+    whole: bool = True  # nothing was left out
+    broken: str = ""
+    path: tuple[tuple[str, ...], ...] = ()  # the steps that led there
+
+
+@dataclass(frozen=True, slots=True)
+class Walked:
+    """What came of one walk."""
+
+    agreed: int  # entries
+    term: int  # of the last leader
+    broken: str
+
+
+def explore(scope: Scope, make: type[Core] = Core, *, most: int = 100_000, until: float = float("inf")) -> Explored:
+    """Go through all worlds of the scope, breadth first, so that what is found is found by the shortest way.
+
+    `most`: states after which it ends; `until`: the monotonic time at which it does."""
+    begun, found = time.monotonic(), Explored()
+    world = World(scope, make)
+    seen = {hash(world.key())}
+    waiting: deque[tuple[World, tuple[tuple[str, ...], ...]]] = deque([(world, ())])
+    while waiting:
+        world, path = waiting.popleft()
+        found.depth = len(path)
+        for step in world.steps():
+            branches: list[int | None] = [None]
+            effects = -1
+            while branches:
+                done, other = branches.pop(), world.copy()
+                found.steps += 1
+                way = (*path, step if done is None else (*step, f"crash after {done}"))
+                try:
+                    count = other.take(step, done)
+                except (BrokenError, AssertionError) as error:
+                    found.broken, found.path = str(error), way
+                    found.states, found.seconds = len(seen), time.monotonic() - begun
+                    return found
+                if effects < 0:
+                    effects = count
+                    if world.left.crashes:
+                        branches += range(count)
+                key = hash(other.key())
+                if key not in seen:
+                    seen.add(key)
+                    waiting.append((other, way))
+        if len(seen) >= most or time.monotonic() > until:
+            found.whole = not waiting
+            break
+    found.states, found.seconds = len(seen), time.monotonic() - begun
+    return found
+
+
+def walk(scope: Scope, seed: int, steps: int, make: type[Core] = Core) -> Walked:
+    """One way through a scope that is too large to go through, drawn from a seed; what is broken, or how much
+    was agreed."""
+    rng = random.Random(seed)
+    world = World(scope, make)
+    for _ in range(steps):
+        choices = list(world.steps())
+        if not choices:
+            break
+        rare = [step for step in choices if step[0] != "deliver"]
+        step = rng.choice(rare) if rare and rng.random() < 0.25 else rng.choice(choices)
+        done = rng.randrange(4) if world.left.crashes and rng.random() < 0.15 else None
+        try:
+            world.take(step, done)
+        except (BrokenError, AssertionError) as error:
+            return Walked(len(world.agreed), max(world.leaders, default=0), f"seed {seed}: {error}")
+        if len(world.network) > 12:  # what waits too long is lost
+            lost = rng.randrange(len(world.network))
+            world.network = world.network[:lost] + world.network[lost + 1:]
+    return Walked(len(world.agreed), max(world.leaders, default=0), "")
--- /dev/null
+++ b/tests/test_agree.py
@@ -0,0 +1,286 @@
+"""The consensus core: explored in small scopes, walked through in larger ones, with planted errors."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from chutepin.agree import (
+    Core,
+    Durable,
+    Effect,
+    Entry,
+    Kind,
+    Persist,
+    Readable,
+    RefusedError,
+    Role,
+    Send,
+    Times,
+    Voters,
+)
+from chutepin.agree.messages import Append, Appended, Ask, Message, Vote
+from chutepin.lab.explorer import Scope, explore, walk
+
+THREE = Voters(("v1", "v2", "v3"))
+
+
+# --- planted errors ---
+
+class ToldBeforeDurable(Core):
+    """Votes and acknowledgements leave before what they say is on the disk."""
+
+    def take(self) -> list[Effect]:
+        return sorted(super().take(), key=lambda effect: isinstance(effect, Persist))
+
+
+class CountsOldTerms(Core):
+    """An entry of an earlier term is agreed once a majority has it."""
+
+    def _advance(self) -> None:
+        matches = sorted(self.last if name == self.name else self._progress[name].match for name in self.members.voters)
+        self._commit(matches[len(matches) - self._majority()])
+
+
+class AnyLogWins(Core):
+    """Whoever asks gets the vote, however old its log."""
+
+    def _asked(self, now: float, sender: str, ask: Ask) -> None:
+        super()._asked(now, sender, ask._replace(last_term=10**9))
+
+
+class VotesTwice(Core):
+    """It forgets whom it voted for."""
+
+    def _asked(self, now: float, sender: str, ask: Ask) -> None:
+        self.vote = ""
+        super()._asked(now, sender, ask)
+
+
+class NoLookBack(Core):
+    """It takes entries whatever stands before them."""
+
+    def _append(self, now: float, sender: str, message: Append) -> None:
+        if message.prev_index <= self.last:
+            message = message._replace(prev_term=self.term_at(message.prev_index))
+        super()._append(now, sender, message)
+
+
+# --- the explorer ---
+
+@pytest.mark.parametrize(("scope", "states"), [
+    (Scope(elections=1, proposals=2), 500), (Scope(elections=1, proposals=1, crashes=1), 1000),
+    (Scope(elections=1, proposals=0, beats=1, twice=1), 500), (Scope(elections=2, proposals=0), 15_000)])
+def test_no_interleaving_of_a_small_scope_breaks_an_invariant(scope: Scope, states: int) -> None:
+    found = explore(scope)
+    assert found.whole and not found.broken and found.states > states, found
+
+
+@pytest.mark.parametrize(("planted", "scope", "says"), [
+    (ToldBeforeDurable, Scope(elections=2, proposals=0, crashes=1), "lead in term"),
+    (AnyLogWins, Scope(elections=2, proposals=0), "without an agreed entry"),
+    (VotesTwice, Scope(elections=2, proposals=0), "lead in term")])
+def test_a_planted_error_is_found_by_the_shortest_way(planted: type[Core], scope: Scope, says: str) -> None:
+    found = explore(scope, planted)
+    assert says in found.broken and len(found.path) <= 10
+
+
+WIDE = Scope(elections=8, proposals=4, beats=20, crashes=3, twice=3)
+CHANGING = Scope(elections=8, proposals=2, beats=30, crashes=2, twice=2, changes=(
+    Voters(THREE.voters, ("v4",)), Voters((*THREE.voters, "v4")), Voters(("v2", "v3", "v4"))))
+
+
+@pytest.mark.parametrize("scope", [WIDE, CHANGING])
+def test_long_walks_with_crashes_and_changes_of_voters_break_nothing(scope: Scope) -> None:
+    walks = [walk(scope, seed, 300) for seed in range(300)]
+    assert not [walked.broken for walked in walks if walked.broken]
+    assert sum(walked.agreed for walked in walks) > 600 and max(walked.term for walked in walks) >= 6
+
+
+def test_a_walk_finds_who_does_not_look_back() -> None:
+    assert any(walk(WIDE, seed, 300, NoLookBack).broken for seed in range(1000))
+
+
+def test_entries_of_an_earlier_term_are_not_agreed_by_counting() -> None:
+    """A leader of term 3 whose entry of term 1 is with a majority must not take it for agreed."""
+    def lead(make: type[Core]) -> Core:
+        core = make("v1", THREE, Durable(), 0.0, random.Random(1))
+        core._campaign(0.0, Role.CANDIDATE, False)
+        core._voted(0.0, "v2", _granted(1))
+        core._follow(1.0, 2, "")  # another one leads in term 2
+        core._campaign(1.0, Role.CANDIDATE, False)
+        core._voted(1.0, "v3", _granted(3))
+        assert core.role is Role.LEADER and core.term == 3 and core.term_at(1) == 1
+        core._progress["v3"].match = 1  # the old entry is with two of three
+        core._advance()
+        return core
+
+    assert lead(Core).commit == 0
+    assert lead(CountsOldTerms).commit == 1  # and this is what the test would see
+
+
+def _granted(term: int) -> Vote:
+    return Vote(term, False, True)
+
+
+# --- elections, leases, reads, handing over: in virtual time ---
+
+class Net:
+    """Members on virtual time; messages come at once unless their link is cut."""
+
+    def __init__(self, members: Voters = THREE, seed: int = 1) -> None:
+        self.now, self.cuts = 0.0, set[tuple[str, str]]()
+        self.cores = {name: Core(name, members, Durable(), 0.0, random.Random(f"{seed} {name}"))
+                      for name in members.everybody}
+        self.readable: list[Readable] = []
+        self.stopped: set[str] = set()
+
+    def settle(self) -> None:
+        busy = True
+        while busy:
+            busy = False
+            for name, core in self.cores.items():
+                for effect in core.take():
+                    busy = True
+                    if isinstance(effect, Send) and (name, effect.to) not in self.cuts \
+                            and effect.to in self.cores and effect.to not in self.stopped:
+                        self.cores[effect.to].receive(self.now, name, effect.message)
+                    elif isinstance(effect, Readable):
+                        self.readable.append(effect)
+
+    def run(self, seconds: float, holds: Callable[[], bool] = lambda: False) -> None:
+        end = self.now + seconds
+        while self.now < end and not holds():
+            self.now += 0.01
+            for name, core in self.cores.items():
+                if name not in self.stopped and self.now >= core.wake_at():
+                    core.tick(self.now)
+            self.settle()
+
+    def leaders(self) -> list[str]:
+        return [name for name, core in self.cores.items() if core.role is Role.LEADER and name not in self.stopped]
+
+    def led(self) -> Core:
+        self.run(10.0, lambda: len(self.leaders()) == 1 and self.cores[self.leaders()[0]].commit > 0)
+        return self.cores[self.leaders()[0]]
+
+
+def test_a_leader_is_elected_agrees_and_is_replaced() -> None:
+    for seed in range(20):
+        net = Net(seed=seed)
+        leader = net.led()
+        index = leader.propose(net.now, b"x")
+        net.settle()
+        assert leader.commit == index
+        net.stopped.add(leader.name)
+        net.run(4.0)
+        other = net.led()
+        assert other.name != leader.name and other.term > leader.term and other.commit >= index
+
+
+def test_a_member_behind_a_one_sided_cut_does_not_depose_the_leader() -> None:
+    net = Net()
+    leader = net.led()
+    deaf = next(name for name in net.cores if name != leader.name)
+    net.cuts = {(name, deaf) for name in net.cores}
+    term = leader.term
+    net.run(20.0)
+    assert net.leaders() == [leader.name] and leader.term == term
+    net.cuts = set()
+    net.run(3.0)
+    assert leader.role is Role.LEADER and leader.term == term and net.cores[deaf].leader == leader.name
+
+
+def test_a_leader_without_a_majority_steps_down_and_answers_no_read() -> None:
+    net = Net()
+    leader = net.led()
+    net.cuts = {(name, leader.name) for name in net.cores}
+    leader.read(net.now, 7)
+    net.settle()
+    assert not net.readable
+    net.run(1.5)
+    assert leader.role is not Role.LEADER and net.readable == [Readable(7, -1)]
+    with pytest.raises(RefusedError, match="not the leader"):
+        leader.propose(net.now, b"x")
+
+
+def test_a_read_sees_what_was_agreed_before_it() -> None:
+    net = Net()
+    leader = net.led()
+    index = leader.propose(net.now, b"x")
+    net.settle()
+    leader.read(net.now, 1)
+    net.settle()
+    assert net.readable == [Readable(1, index)]
+
+
+def test_a_leader_hands_over_to_whom_it_names() -> None:
+    net = Net()
+    leader = net.led()
+    to = next(name for name in net.cores if name != leader.name)
+    leader.hand_over(net.now, to)
+    with pytest.raises(RefusedError, match="hands over"):
+        leader.propose(net.now, b"x")
+    net.settle()
+    assert net.leaders() == [to] and leader.leader == to
+
+
+def test_voters_change_one_at_a_time_and_only_after_they_have_caught_up() -> None:
+    net = Net(Voters(THREE.voters))
+    net.cores["v4"] = Core("v4", THREE, Durable(), 0.0, random.Random(4))
+    leader = net.led()
+    with pytest.raises(RefusedError, match="caught up"):
+        leader.change(net.now, Voters((*THREE.voters, "v4")))
+    leader.change(net.now, Voters(THREE.voters, ("v4",)))
+    net.settle()
+    with pytest.raises(RefusedError, match="one voter"):
+        leader.change(net.now, Voters(("v1", "v4")))
+    leader.change(net.now, Voters((*THREE.voters, "v4")))
+    with pytest.raises(RefusedError, match="under way"):
+        leader.change(net.now, THREE)
+    net.settle()
+    gone = leader.name
+    leader.change(net.now, Voters(tuple(name for name in (*THREE.voters, "v4") if name != gone)))
+    net.settle()
+    net.run(6.0, lambda: net.leaders() not in ([], [gone]))
+    assert gone not in net.led().members.voters and net.led().commit >= 4
+
+
+def test_a_far_behind_log_is_found_in_as_many_steps_as_there_are_terms() -> None:
+    net = Net()
+    leader = net.led()
+    behind = next(name for name in net.cores if name != leader.name)
+    net.stopped.add(behind)
+    for number in range(500):
+        leader.propose(net.now, b"%d" % number)
+    net.settle()
+    net.stopped.clear()
+    net.run(1.0)
+    assert net.cores[behind].log == leader.log and net.cores[behind].commit == leader.commit
+
+
+def test_what_flies_to_a_follower_is_bounded_in_bytes() -> None:
+    times = Times(in_flight=10_000, piece=2_000)
+    core = Core("v1", THREE, Durable(), 0.0, random.Random(1), times)
+    core._campaign(0.0, Role.CANDIDATE, False)
+    core.receive(0.0, "v2", _granted(1))
+    core.receive(0.0, "v2", _acked(1))
+    for _ in range(100):
+        core.propose(0.0, bytes(500))
+    sent = [effect.message for effect in core.take() if isinstance(effect, Send) and effect.to == "v2"]
+    flying = sum(len(entry.data) + 32 for message in sent if isinstance(message, Append) for entry in message.entries)
+    assert 9_000 <= flying <= 11_000
+
+
+def _acked(match: int) -> Message:
+    return Appended(1, True, match, 0)
+
+
+def test_an_agreed_entry_is_never_replaced() -> None:
+    core = Core("v1", THREE, Durable(), 0.0, random.Random(1))
+    core.receive(0.0, "v2", Append(1, 0, 0, (Entry(1, 1, Kind.EMPTY),), 1, 1))
+    with pytest.raises(AssertionError, match="agreed entry"):
+        core.receive(0.0, "v3", Append(2, 0, 0, (Entry(1, 2, Kind.EMPTY),), 0, 1))
+
