--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -616,9 +616,10 @@
     def _ask_helpers(self, probe: Probe) -> None:
         """Ask others to ask; with what stands against the subject, so that they can put it right."""
         probe.helped = True
-        if probe.why is Why.BACK:
+        member = self.view.table.members.get(probe.subject)  # which may have been forgotten meanwhile
+        if probe.why is Why.BACK or member is None:
             return
-        record = self.view.table.members[probe.subject].record
+        record = member.record
         helpers = self._helpers(probe.subject)
         probe.helpers = len(helpers)
         for helper in helpers:
--- a/chutepin/cluster/subsystem.py
+++ b/chutepin/cluster/subsystem.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..admission import Ledger
+from ..config import ConfigError
 from ..config.cluster import ClusterSetup
 from ..ops import Counters, Log
 from .detector import Answer, Detector, Effect, Send
@@ -35,7 +36,8 @@
                  store: Store | None) -> None:
         self._setup, self._name, self._counters, self._log = setup, name, counters, log
         self._incarnations = Incarnations(name, store)
-        self._detector = Detector(setup, name, self._incarnations.begin(), time.monotonic(), random.Random(seed))
+        incarnation = self._begun(store)
+        self._detector = Detector(setup, name, incarnation, time.monotonic(), random.Random(seed))
         self._transport = Transport(setup.name, setup.listen, self._deliver, ledger, counters, log)
         self._timer: asyncio.TimerHandle | None = None
         self._at = 0.0
@@ -46,6 +48,16 @@
         self._active = False  # and takes part
         self._left = False
 
+    def _begun(self, store: Store | None) -> int:
+        """Where this process begins. A store that can't keep it is a fault as one that can't be opened."""
+        if store is None:
+            return self._incarnations.begin()
+        from ..store import StoreError
+        try:
+            return self._incarnations.begin()
+        except StoreError as error:
+            raise ConfigError(f"store.directory: {error}") from None
+
     # --- subsystem.Subsystem ---
 
     def adopt(self, sockets: list[socket.socket]) -> list[socket.socket]:
@@ -137,8 +149,12 @@
         if self._transport.overrun:  # what was lost in a flood is no evidence against others
             self._transport.overrun = False
             self._detector.health.worse()
-        self._detector.tick(time.monotonic())
-        self._carry_out(self._detector.take())
+        try:
+            self._detector.tick(time.monotonic())
+            self._carry_out(self._detector.take())
+        finally:
+            if self._timer is None and self._active:  # an error in one turn, which the node logs, silences nobody
+                self._timer = asyncio.get_running_loop().call_later(AGAIN, self._tick)
 
     def _carry_out(self, effects: Iterable[Effect]) -> Packet | None:
         """Do what the detector wants done; the answer to an exchange, if there is one."""
--- a/chutepin/cluster/transport.py
+++ b/chutepin/cluster/transport.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import socket
 import time
 from collections.abc import Callable, Coroutine
@@ -35,9 +36,9 @@
 
 
 def numeric(address: str) -> tuple[str, int]:
-    """Host and port of an address. Raises ValueError."""
+    """Host and port of an address. Raises ValueError, also for a name: looking it up would hold the loop."""
     host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
+    return str(ipaddress.ip_address(host.strip("[]"))), int(port)
 
 
 class Transport:
--- a/chutepin/cluster/view.py
+++ b/chutepin/cluster/view.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from .frames import MAX_STREAM, MAX_UPDATES, update_bytes
 from .gossip import Queue, repeats
 from .links import LinkTable
 from .records import Claim, Links, Record, Status, Update
@@ -29,6 +30,7 @@
     incarnation: int
 
 
+WHOLE = MAX_STREAM - 2048  # bytes of the updates of a whole state
 CONFIRMED = 8  # accusers that are kept of one incarnation
 
 
@@ -207,7 +209,13 @@
         updates: list[Update] = [member.record for member in self.table.members.values()]
         if self.links.version:
             updates.append(self.links.report(now))
-        return updates + list(self.links.told(now))
+        room = WHOLE - sum(map(update_bytes, updates))
+        for links in self.links.told(now):  # as many as a frame holds; names at their longest fit by themselves
+            room -= update_bytes(links)
+            if room < 0 or len(updates) >= MAX_UPDATES:
+                break
+            updates.append(links)
+        return updates
 
     def age(self, now: float) -> None:
         """Forget the gone that have been remembered long enough."""
--- a/chutepin/config/cluster.py
+++ b/chutepin/config/cluster.py
@@ -49,8 +49,11 @@
     """An address in numbers: nothing here may wait for a name to be looked up."""
     found = address(raw, name)
     try:
-        ipaddress.ip_address(found.host.strip("[]"))
-    except ValueError:
+        if ipaddress.ip_address(found.host.strip("[]")).is_unspecified:
+            raise ConfigError(f"{name}: {found.host} is no address that others could dial")
+    except ValueError as error:
+        if isinstance(error, ConfigError):
+            raise
         raise ConfigError(f"{name}: {found.host} is not an IP address") from None
     return found
 
@@ -72,7 +75,7 @@
     "suspect-most": count("times", 1, 100), "alone": quantity(TIME, 0.1, 3600.0),
     "link-every": quantity(TIME, 0.1, 300.0), "sync-every": quantity(TIME, 0.1, 3600.0),
     "join-every": quantity(TIME, 0.05, 300.0), "remember": quantity(TIME, 1.0, 30 * 86400.0),
-    "members": count("members", 2, 4096)}
+    "members": count("members", 2, 2048)}
 
 
 def cluster_setup(values: dict[str, Any]) -> ClusterSetup:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -176,6 +176,7 @@
     (BLOCK % 'zone "b"', "cluster.zone: given twice"),
     (BLOCK % 'colour "red"', "cluster.colour: unknown; known are name"),
     (BLOCK.replace('"a"', '"a b"') % "", "cluster.zone: not a word"),
+    (BLOCK.replace("127.0.0.1", "0.0.0.0") % "", "cluster.listen: 0.0.0.0 is no address that others could dial"),
 ])
 def test_a_bad_block_is_one_line(text: str, message: str, tmp_path: object) -> None:
     from pathlib import Path
@@ -353,6 +354,27 @@
     assert seed.view.table.members["n5"].record.address == "10.9.9.9:7301"
 
 
+def test_a_member_that_is_forgotten_in_the_middle_of_a_probe_does_no_harm() -> None:
+    simulator = Simulator(calm(10.3, Fault(9.0, "cut", ("n1", *NAMES[1:]))), 1)
+    simulator.run()
+    detector = simulator.hosts["n1"].detector
+    assert detector is not None and detector._probes
+    for name in list(detector.view.table.members):
+        detector.view.table.drop(name)
+    for step in range(100):
+        detector.tick(10.3 + step / 10)
+        detector.take()
+        assert detector.wake_at() > 9.0
+    assert not detector._probes
+
+
+@pytest.mark.parametrize("address", ["example.org:7301", "127.0.0.1", "127.0.0.1:x", ":7301"])
+def test_a_told_address_that_is_no_number_is_not_looked_up(address: str) -> None:
+    from chutepin.cluster.transport import numeric
+    with pytest.raises(ValueError):
+        numeric(address)
+
+
 def test_a_replayed_datagram_is_dropped() -> None:
     simulator = Simulator(calm(10), 1)
     kept: list[Packet] = []
