Tests: a node without the block loads nothing of the cluster; the example block is sound

Cause or need: the promise that a plain node pays nothing was measured, not tested. Ruled out: nothing else changes. Change: two tests in test_setup.py.

--- a/tests/test_setup.py
+++ b/tests/test_setup.py
@@ -87,3 +87,17 @@
     tally = json.loads(done.stdout)
     assert tally["sound"] and set(tally["classes"]) <= {"status-read", "position-push", "work-order"}
     assert sum(cls["served"] for cls in tally["classes"].values()) >= 10
+
+
+def test_a_node_without_the_block_loads_nothing_of_the_cluster() -> None:
+    code = ("import sys; import chutepin.serve; from chutepin.config import parse_setup; parse_setup('log {}'); "
+            "print([name for name in sys.modules if 'cluster' in name or 'agree' in name or name == 'msgpack'])")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout == "[]\n"
+
+
+def test_the_example_files_block_of_the_cluster_is_sound() -> None:
+    text = (ROOT / "deploy" / "node.kdl").read_text()
+    assert parse_setup(text).cluster is None
+    cluster = parse_setup(text.replace("/-cluster", "cluster")).cluster
+    assert cluster is not None and cluster.probe_every == 0.5 and len(cluster.seeds) == 2
