Incarnations kept in the store work; schedules shrink; commands tested on a real fleet

Cause or need: a test of incarnations with the real store showed that the expiry 2**40 ends the store's thread (a file's time out of range), so a node with both blocks would have lost its store at the first commit. Ruled out: a bound in the store, which is another subsystem's: the year 2242 is far enough. Change: the expiry; faults.smallest and its use by lab simulate; tests of both, of lab simulate and of cluster members, links and watch with their exit codes.

--- a/chutepin/cli/lab.py
+++ b/chutepin/cli/lab.py
@@ -8,7 +8,7 @@
 
 import click
 
-from ..lab.faults import Schedule, draw, load_schedule
+from ..lab.faults import Schedule, draw, load_schedule, smallest
 from ..lab.history import History
 from ..lab.invariants import broken
 from .output import as_json, show_json, show_table
@@ -91,4 +91,10 @@
     """Play SCHEDULE (a file, or `draw`) in the simulator: one seed, one history, byte for byte."""
     from ..lab.simulator import Simulator
 
-    return result(Simulator(schedule_of(schedule, seed), seed).run(), 1.0, out, json_asked)
+    asked = schedule_of(schedule, seed)
+    history = Simulator(asked, seed).run()
+    if found := broken(history):
+        names = set(found)
+        least = smallest(asked, lambda fewer: bool(names & set(broken(Simulator(fewer, seed).run()))))
+        click.echo(f"seed {seed}, the smallest schedule that fails alike:\n{least.as_json()}", err=True)
+    return result(history, 1.0, out, json_asked)
--- a/chutepin/cluster/incarnation.py
+++ b/chutepin/cluster/incarnation.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from ..store import Store
 
-FOREVER = 2.0**40  # seconds of Unix time: an expiry that never comes
+FOREVER = 2.0**33  # seconds of Unix time: the year 2242; the store sets files to the time of their last expiry
 
 
 def _key(name: str) -> bytes:
--- a/chutepin/lab/faults.py
+++ b/chutepin/lab/faults.py
@@ -7,8 +7,8 @@
 
 import json
 import random
-from collections.abc import Iterable
-from dataclasses import asdict, dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 
 
@@ -95,6 +95,20 @@
     return Fault(at, "split", groups=tuple(tuple(group) for group in groups))
 
 
+def smallest(schedule: Schedule, fails: Callable[[Schedule], bool]) -> Schedule:
+    """A schedule that still fails with as few faults as leaving one out after the other finds. `fails` must give the
+    same verdict each time, as a run of the simulator does."""
+    rest = schedule
+    tried = 0
+    while tried < len(rest.faults):
+        fewer = replace(rest, faults=rest.faults[:tried] + rest.faults[tried + 1:])
+        if fails(fewer):
+            rest = fewer
+        else:
+            tried += 1
+    return rest
+
+
 def draw(seed: int, members: int, seconds: float) -> Schedule:
     """A random schedule: a few troubles one after the other, all over by the last third."""
     rng = random.Random(seed)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import json
 import random
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 from hypothesis import given
@@ -20,19 +24,21 @@
     stream_frame,
 )
 from chutepin.cluster.gossip import Queue, repeats
+from chutepin.cluster.incarnation import Incarnations
 from chutepin.cluster.messages import Ack, Found, Gossip, Packet, Ping, PingReq, Refuse, Stale, Sync
 from chutepin.cluster.records import BadLink, Claim, Links, judge
 from chutepin.cluster.table import Table, Window
 from chutepin.cluster.trials import suspicion_time
 from chutepin.config import Address, ConfigError, load_setup
 from chutepin.config.cluster import ClusterSetup
-from chutepin.lab.faults import Fault, Schedule, draw, load_schedule, split
+from chutepin.lab.faults import Fault, Schedule, draw, load_schedule, smallest, split
 from chutepin.lab.history import History
 from chutepin.lab.invariants import broken
 from chutepin.lab.simulator import Simulator
+from chutepin.store import Store
 
 from . import mutants
-from .helper import STEPS
+from .helper import ROOT, STEPS
 
 NAMES = [f"n{number}" for number in range(1, 8)]
 REST = [name for name in NAMES if name != "n5"]
@@ -178,9 +184,8 @@
     (BLOCK.replace('"a"', '"a b"') % "", "cluster.zone: not a word"),
     (BLOCK.replace("127.0.0.1", "0.0.0.0") % "", "cluster.listen: 0.0.0.0 is no address that others could dial"),
 ])
-def test_a_bad_block_is_one_line(text: str, message: str, tmp_path: object) -> None:
-    from pathlib import Path
-    path = Path(str(tmp_path)) / "node.kdl"
+def test_a_bad_block_is_one_line(text: str, message: str, tmp_path: Path) -> None:
+    path = tmp_path / "node.kdl"
     path.write_text(text)
     with pytest.raises(ConfigError) as error:
         load_setup(str(path))
@@ -228,6 +233,36 @@
     assert not found, f"seed {seed}: {found}"
 
 
+def test_a_failing_schedule_shrinks_to_the_faults_that_matter() -> None:
+    schedule = calm(70, Fault(2, "delay", value=0.01), split(10, (NAMES[:4], NAMES[4:])),
+                    Fault(12, "cut", ("n1", "n2")), Fault(40, "heal"))
+
+    def fails(schedule: Schedule) -> bool:
+        found = broken(Simulator(schedule, 1, mutants.ForgetsTheDead).run())
+        return any("dead" in line for line in found.get("views_agree_in_the_end", ()))
+
+    assert [fault.what for fault in smallest(schedule, fails).faults] == ["split", "heal"]
+
+
+def test_incarnations_rise_above_what_the_store_remembers(tmp_path: Path) -> None:
+    with Store.open(tmp_path / "store") as store:
+        first = Incarnations("n1", store).begin()
+        Incarnations("n1", store).keep(first + 10**9)  # the clock was that far ahead, and was set back since
+        assert Incarnations("n2", store).begin() < first + 10**9
+    with Store.open(tmp_path / "store") as store:
+        assert Incarnations("n1", store).begin() == first + 10**9 + 1
+
+
+def test_the_lab_plays_a_schedule_and_leaves_history_and_chart(tmp_path: Path) -> None:
+    out = tmp_path / "out"
+    asked = ("lab", "simulate", "draw", "--seed", "7", "--out", str(out), "--json")
+    done = subprocess.run([sys.executable, "-m", "chutepin", *asked], cwd=ROOT, capture_output=True, text=True,
+                          check=True)
+    assert json.loads(done.stdout)["broken"] == {}
+    assert load_schedule((out / "schedule.json").read_text()) == draw(7, 6, 90.0)
+    assert (out / "alive.svg").stat().st_size > 1000 and (out / "history.jsonl").read_text().count("\n") > 100
+
+
 def test_one_seed_gives_one_history_byte_for_byte() -> None:
     texts = {Simulator(SCHEDULES["loss"], seed).run().text() for seed in (5, 5, 6)}
     assert len(texts) == 2
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
 import socket
+import sys
 import time
 from collections.abc import Callable
 from contextlib import AsyncExitStack
@@ -19,7 +21,7 @@
 from chutepin.lab.fleet import Fleet, play
 from chutepin.lab.invariants import broken
 
-from .helper import Standins
+from .helper import ROOT, Standins
 from .test_node import on_sockets
 from .test_operation import call
 
@@ -140,6 +142,7 @@
             await fleet.open(stack)
             await fleet.joined()
             process = fleet.processes["n1"]
+            assert (await command(process.ops, "members"))[0] == 0
             client = await process.world.connect()
             flooding = asyncio.get_running_loop().run_in_executor(None, flood, process.address, 6.0)
             tags: list[int] = []
@@ -155,10 +158,28 @@
             reasons = ("garbage", "cluster", "version", "checksum", "replayed")
             await until(lambda: all(f"cluster.drop.{reason}=" in fleet.log("n1") for reason in reasons))
             await fleet.joined()
+            fleet.processes["n3"].signal(signal.SIGKILL)
+            await until_members(fleet, "n1", lambda rows: rows["n3"][1] == "dead")
+            code, output = await command(process.ops, "members")
+            assert code == 1 and {row["name"]: row["state"] for row in json.loads(output)} | {"stranger": "dead"} == {
+                "n1": "alive", "n2": "alive", "n3": "dead", "stranger": "dead"}
+            code, output = await command(process.ops, "watch", "--seconds", "0.1")
+            assert code == 1 and any(change["what"] == "dead" for change in json.loads(output)["changes"])
+            assert await command(process.ops, "links") == (0, "[]\n")
+            assert (await command(1, "members"))[0] == 2
 
     asyncio.run(run())
 
 
+async def command(ops: int, *words: str) -> tuple[int, str]:
+    """`cluster …` as an operator calls it: exit code and output."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "chutepin", "cluster", *words, "--ops", f"127.0.0.1:{ops}", cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL)
+    output, _ = await process.communicate()
+    return process.returncode or 0, output.decode()
+
+
 def test_a_successor_takes_over_and_a_stranger_of_that_name_is_refused() -> None:
     async def run() -> None:
         async with AsyncExitStack() as stack:
