--- a/chutepin/admin/calls.py
+++ b/chutepin/admin/calls.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from ..figures import Figures
 from ..lifecycle import Lifecycle, Move
 from .exposition import exposition
 
-CLUSTER = ("members", "links", "changes", "view")  # calls of the cluster, where there is one
+# Calls of subsystems that may be off, and what is said then.
+OFF = dict.fromkeys(("members", "links", "changes", "view"), "no cluster") | dict.fromkeys(
+    ("agree", "agree-set", "agree-get", "agree-ask", "agree-void", "agree-add", "agree-remove", "agree-transfer",
+     "agree-snapshot"), "no log in common")
 
 
 def success(text: str = "") -> str:
@@ -25,16 +28,20 @@
     """The calls of one process."""
 
     def __init__(self, lifecycle: Lifecycle, figures: Figures,
-                 more: Mapping[str, Callable[[], str]] | None = None) -> None:
-        """`more`: calls of subsystems that the operator's file has switched on."""
+                 more: Mapping[str, Callable[[], str]] | None = None,
+                 orders: Mapping[str, Callable[[list[str]], Awaitable[str]]] | None = None) -> None:
+        """`more`, `orders`: calls of subsystems that the operator's file has switched on, without words and with."""
         self._lifecycle, self._figures = lifecycle, figures
         self.table: dict[str, Callable[[], str]] = {
             "ready": self._ready, "show-stat": self._show_stat, "drain": self._drain, "resume": self._resume}
-        self.table |= {name: lambda: failure("no cluster") for name in CLUSTER} | dict(more or {})
+        self.table |= {name: lambda why=why: failure(why) for name, why in OFF.items()} | dict(more or {})
+        self._orders = orders or {}
 
-    def answer(self, line: str) -> str:
-        """The whole answer to a line. Calls take no arguments; every call in every state has an answer."""
+    def answer(self, line: str) -> str | Awaitable[str]:
+        """The whole answer to a line, or what it is to be waited for. Every call in every state has one."""
         name, *rest = line.split()
+        if name in self._orders:
+            return self._orders[name](rest)
         call = self.table.get(name)
         if call is None:
             return failure(f"no such call; there are {', '.join(self.table)}")
--- a/chutepin/admin/listener.py
+++ b/chutepin/admin/listener.py
@@ -94,4 +94,5 @@
             line = reader.feed(data or b"\n")
             if line is not None:
                 self._counters.add("ops.calls")
-                return self._calls.answer(line)
+                answer = self._calls.answer(line)
+                return answer if isinstance(answer, str) else await answer
--- a/chutepin/agree/__init__.py
+++ b/chutepin/agree/__init__.py
@@ -4,7 +4,7 @@
 `docs/agree.md` has the design and what is still open: no node uses it yet."""
 
 from .core import Core, Durable, Progress, RefusedError, Role, Times
-from .messages import Apply, Effect, Entry, Kind, Message, Persist, Readable, Send, Voters
+from .messages import Apply, Effect, Entry, Kind, Message, Persist, Readable, Restore, Send, Snapshot, Voters
 
 __all__ = ["Apply", "Core", "Durable", "Effect", "Entry", "Kind", "Message", "Persist", "Progress", "Readable",
-           "RefusedError", "Role", "Send", "Times", "Voters"]
+           "RefusedError", "Restore", "Role", "Send", "Snapshot", "Times", "Voters"]
--- a/chutepin/agree/core.py
+++ b/chutepin/agree/core.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
+import zlib
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -22,8 +24,12 @@
     Kind,
     Message,
     Persist,
+    Piece,
     Readable,
+    Restore,
     Send,
+    Snapshot,
+    Taken,
     Vote,
     Voters,
 )
@@ -45,7 +51,8 @@
     election: float = 1.0  # without a leader before a vote is asked for; up to twice that, drawn
     heartbeat: float = 0.2
     in_flight: int = 256 * 1024  # bytes of entries that a follower has not acknowledged
-    piece: int = 64 * 1024  # bytes of entries in one message
+    piece: int = 64 * 1024  # bytes of entries, or of a snapshot, in one message
+    log: int = 4 * 2**20  # bytes of entries for which a leader waits for those behind before it lets go of them
 
 
 @dataclass(slots=True)
@@ -54,13 +61,24 @@
 
     term: int = 0
     vote: str = ""
-    entries: list[Entry] = field(default_factory=list)  # entry i stands at i - 1
+    entries: list[Entry] = field(default_factory=list)  # all behind `base`
+    snapshot: Snapshot | None = None
+    base: int = 0
+    base_term: int = 0
 
     def persist(self, change: Persist) -> None:
         """Take in what has become durable."""
         self.term, self.vote = change.term, change.vote
+        if change.snapshot is not None:
+            self.snapshot = change.snapshot
+            if change.anew:
+                self.entries, self.base, self.base_term = [], change.snapshot.upto, change.snapshot.term
+            elif change.base > self.base:
+                self.base_term = self.entries[change.base - self.base - 1].term
+                del self.entries[:change.base - self.base]
+                self.base = change.base
         if change.entries:
-            self.entries[change.first - 1:] = change.entries
+            self.entries[change.first - self.base - 1:] = change.entries
 
 
 @dataclass(slots=True)
@@ -73,6 +91,13 @@
     flying: list[tuple[int, int]] = field(default_factory=list)  # (last index, bytes) of messages not yet answered
     heard: float = -math.inf
     round: int = 0  # of heartbeats that it has answered
+    piece: tuple[int, int] = (0, 0)  # index and bytes of the snapshot that it has
+    sent: bool = False  # a piece is on its way
+
+
+def _cost(entry: Entry) -> int:
+    """Bytes that an entry takes, about."""
+    return len(entry.data) + 32
 
 
 class RefusedError(Exception):
@@ -91,9 +116,12 @@
         """`first`: who votes before any entry says otherwise; the same on all. `durable` is read, not kept."""
         self.name, self._first, self._rng, self._times = name, first, rng, times
         self.term, self.vote = durable.term, durable.vote
-        self.log: list[Entry] = list(durable.entries)
+        self.log: list[Entry] = list(durable.entries)  # behind `base`
+        self.base, self.base_term, self.snapshot = durable.base, durable.base_term, durable.snapshot
+        self.size = sum(map(_cost, self.log))  # bytes of the log
         self.role, self.leader = Role.FOLLOWER, ""
-        self.commit = self.applied = 0
+        self.commit = self.applied = self.snapshot.upto if self.snapshot is not None else 0
+        self._incoming: tuple[tuple[int, int, int, int], bytearray] | None = None  # a snapshot that comes in pieces
         self.members = self._members_of_log()
         self._votes: set[str] = set()
         self._progress: dict[str, Progress] = {}
@@ -101,10 +129,10 @@
         self._reads: list[tuple[int, int, int]] = []  # (id, index, round that must be answered)
         self._handing = ""  # to whom
         self._handing_until = math.inf
-        self._heard_leader = -math.inf
+        self.heard_leader = -math.inf
         self._election_at = now + self._drawn()
         self._heartbeat_at = math.inf
-        self._effects: list[Effect] = []
+        self._effects: list[Effect] = [Restore(self.snapshot)] if self.snapshot is not None else []
 
     # --- in and out ---
 
@@ -120,11 +148,30 @@
     @property
     def last(self) -> int:
         """The index of the last entry; 0 for none."""
-        return len(self.log)
+        return self.base + len(self.log)
 
     def term_at(self, index: int) -> int:
-        """The term of an entry; 0 before the first."""
-        return self.log[index - 1].term if 0 < index <= len(self.log) else 0
+        """The term of an entry; 0 before the first, and of those that are no more."""
+        if index == self.base:
+            return self.base_term
+        return self.log[index - self.base - 1].term if self.base < index <= self.last else 0
+
+    def _from(self, index: int) -> list[Entry]:
+        return self.log[index - self.base - 1:]
+
+    def _cut_to(self, first: int, entries: tuple[Entry, ...]) -> None:
+        """Replace the log from an index on."""
+        self.size += sum(map(_cost, entries)) - sum(map(_cost, self._from(first)))
+        self.log[first - self.base - 1:] = entries
+
+    def lag(self, name: str) -> int:
+        """Entries that a member lacks, as far as the leader knows."""
+        progress = self._progress.get(name)
+        return 0 if name == self.name else self.last - (progress.match if progress is not None else 0)
+
+    def furthest(self) -> list[str]:
+        """The other voters, those first that lack least."""
+        return sorted((name for name in self.members.voters if name != self.name), key=self.lag)
 
     def tick(self, now: float) -> None:
         """Do what is due."""
@@ -155,7 +202,7 @@
         self._must_lead()
         if self.term_at(self.commit) != self.term:
             raise RefusedError("nothing of this term is agreed yet", self.name)
-        if any(entry.kind is Kind.VOTERS for entry in self.log[self.commit:]):
+        if any(entry.kind is Kind.VOTERS for entry in self._from(self.commit + 1)):
             raise RefusedError("another change of voters is under way", self.name)
         if len(set(members.voters) ^ set(self.members.voters)) > 1:
             raise RefusedError("one voter at a time", self.name)
@@ -203,6 +250,10 @@
                 self._append(now, sender, message)
             case Appended() if message.term == self.term and self.role is Role.LEADER:
                 self._appended(now, sender, message)
+            case Piece():
+                self._piece(now, sender, message)
+            case Taken() if message.term == self.term and self.role is Role.LEADER:
+                self._taken(now, sender, message)
             case Begin() if message.term == self.term and self.name in self.members.voters:
                 self._campaign(now, Role.CANDIDATE, True)
             case _:
@@ -221,7 +272,7 @@
         if ask.handed:
             return False
         leads = self.role is Role.LEADER and self._hears_majority(now)
-        return leads or (self.leader != "" and now < self._heard_leader + self._times.election)
+        return leads or (self.leader != "" and now < self.heard_leader + self._times.election)
 
     def _hears_majority(self, now: float) -> bool:
         heard = sum(name == self.name or self._progress[name].heard > now - self._times.election
@@ -293,15 +344,18 @@
     # --- the log ---
 
     def _persist(self, first: int = 0) -> None:
-        entries = tuple(self.log[first - 1:]) if first else ()
+        entries = tuple(self._from(first)) if first else ()
         self._effects.append(Persist(self.term, self.vote, first, entries))
 
     def _members_of_log(self) -> Voters:
         """The last change of voters in the log holds from the moment that it stands there, agreed or not."""
-        for entry in reversed(self.log):
+        return self._members_at(self.last)
+
+    def _members_at(self, index: int) -> Voters:
+        for entry in reversed(self.log[:max(0, index - self.base)]):
             if entry.members is not None:
                 return entry.members
-        return self._first
+        return self.snapshot.members if self.snapshot is not None else self._first
 
     def _must_lead(self) -> None:
         if self.role is not Role.LEADER:
@@ -311,7 +365,7 @@
 
     def _add(self, entry: Entry) -> int:
         """A leader's own entry. The followers may have it before it is durable here: its effects stand behind."""
-        self.log.append(entry)
+        self._cut_to(entry.index, (entry,))
         if entry.members is not None:
             self.members = entry.members
             for name in entry.members.everybody:
@@ -324,6 +378,12 @@
         self._advance()
         return entry.index
 
+    def spread(self) -> None:
+        """Tell followers that lack nothing how far all is agreed, lest they learn it with the next heartbeat only."""
+        for name, progress in self._progress.items():
+            if name != self.name and self.role is Role.LEADER and progress.match == self.last:
+                self._replicate(name, beat=True)
+
     def _beat(self) -> None:
         """A round of heartbeats. Each carries what its follower has room for."""
         self._round += 1
@@ -337,21 +397,12 @@
         if name == self.name:
             return
         progress = self._progress[name]
-        while True:
-            entries: list[Entry] = []
-            size = 0
-            room = self._times.in_flight - sum(part for _, part in progress.flying)
-            for entry in self.log[progress.next - 1:]:
-                cost = len(entry.data) + 32
-                if entries and size + cost > min(room, self._times.piece):
-                    break
-                if room <= 0:
-                    break
-                entries.append(entry)
-                size += cost
-            if not beat and (not entries or (progress.probing and progress.flying)):
-                return
-            self._say(name, Append(self.term, progress.next - 1, self.term_at(progress.next - 1), tuple(entries),
+        if progress.next <= self.base:
+            self._send_piece(name, progress, beat)
+            return
+        while (part := self._next_part(progress)) or beat:
+            entries, size = part or ((), 0)
+            self._say(name, Append(self.term, progress.next - 1, self.term_at(progress.next - 1), entries,
                                    self.commit, self._round))
             beat = False
             if entries:
@@ -361,15 +412,30 @@
             if progress.probing or not entries:
                 return
 
+    def _next_part(self, progress: Progress) -> tuple[tuple[Entry, ...], int] | None:
+        """Entries for a follower and their bytes, if there are any and it has room for them."""
+        room = self._times.in_flight - sum(part for _, part in progress.flying)
+        if room <= 0 or (progress.probing and progress.flying):
+            return None
+        entries, size = list[Entry](), 0
+        for entry in itertools.islice(self.log, progress.next - self.base - 1, None):
+            cost = _cost(entry)
+            if entries and size + cost > min(room, self._times.piece):
+                break
+            entries.append(entry)
+            size += cost
+        return (tuple(entries), size) if entries else None
+
     def _append(self, now: float, sender: str, message: Append) -> None:
         if message.term < self.term:
             self._say(sender, Appended(self.term, False, self.last, message.round))
             return
         if self.role is not Role.FOLLOWER or self.leader != sender:
             self._follow(now, message.term, sender)
-        self._heard_leader, self._election_at = now, now + self._drawn()
+        self.heard_leader, self._election_at = now, now + self._drawn()
         prev = message.prev_index
-        if prev > self.last or self.term_at(prev) != message.prev_term:
+        # What stands at the base or before it is agreed, so it is the leader's too.
+        if prev > self.last or (prev >= self.base and self.term_at(prev) != message.prev_term):
             hint = min(self.last, prev - 1)
             bad = self.term_at(hint + 1)
             while bad and hint > self.commit and self.term_at(hint) == bad:
@@ -377,9 +443,9 @@
             self._say(sender, Appended(self.term, False, max(hint, self.commit), message.round))
             return
         for entry in message.entries:
-            if self.term_at(entry.index) != entry.term:
+            if entry.index > self.base and self.term_at(entry.index) != entry.term:
                 assert entry.index > self.commit, "an agreed entry would be replaced"
-                self.log[entry.index - 1:] = message.entries[entry.index - prev - 1:]
+                self._cut_to(entry.index, message.entries[entry.index - prev - 1:])
                 self.members = self._members_of_log()
                 self._persist(entry.index)
                 break
@@ -392,6 +458,7 @@
         if progress is None:
             return
         progress.heard, progress.round = now, max(progress.round, message.round)
+        progress.sent = False
         if message.ok:
             progress.probing = False
             progress.match = max(progress.match, message.match)
@@ -412,7 +479,7 @@
         if agreed > self.commit and self.term_at(agreed) == self.term:
             self._commit(agreed)
             if self.name not in self.members.voters and not any(
-                    entry.kind is Kind.VOTERS for entry in self.log[self.commit:]):
+                    entry.kind is Kind.VOTERS for entry in self._from(self.commit + 1)):
                 self._beat()  # the others hear that it is agreed; then it steps down
                 self._election_at = -math.inf
 
@@ -420,9 +487,89 @@
         if index <= self.commit:
             return
         self.commit = index
-        self._effects.append(Apply(tuple(self.log[self.applied:index])))
+        self._effects.append(Apply(tuple(self._from(self.applied + 1)[:index - self.applied])))
         self.applied = index
 
+    # --- snapshots ---
+
+    def compact(self, now: float, data: bytes) -> None:
+        """Keep the state after all that was applied, and let go of the log before it; a leader keeps what followers
+        that it hears still lack, as long as that is not too much. Nothing is done where nothing was applied since."""
+        if self.applied <= (self.snapshot.upto if self.snapshot is not None else 0):
+            return
+        snapshot = Snapshot(self.applied, self.term_at(self.applied), self._members_at(self.applied), data)
+        base = self.applied
+        if self.role is Role.LEADER and self.size <= self._times.log:
+            base = min([base, *(progress.match for progress in self._progress.values()
+                                if self.base < progress.match and progress.heard > now - self._times.election)])
+        self.snapshot = snapshot
+        base_term = self.term_at(base)
+        gone = self.log[:base - self.base]
+        self.size -= sum(map(_cost, gone))
+        del self.log[:len(gone)]
+        self.base, self.base_term = base, base_term
+        self._effects.append(Persist(self.term, self.vote, 0, (), snapshot, base))
+
+    def _send_piece(self, name: str, progress: Progress, again: bool) -> None:
+        """The next part of the snapshot; one at a time, the same again with the next heartbeat."""
+        if progress.sent and not again:
+            return
+        assert self.snapshot is not None, "the log was cut without a snapshot"
+        index, _, _, data = self.snapshot
+        if progress.piece[0] != index:
+            progress.piece = (index, 0)
+        offset = progress.piece[1]
+        progress.sent = True
+        self._say(name, Piece(self.term, index, self.snapshot.term, self.snapshot.members, len(data), zlib.crc32(data),
+                              offset, data[offset:offset + self._times.piece], self._round))
+
+    def _piece(self, now: float, sender: str, message: Piece) -> None:
+        if message.term < self.term:
+            self._say(sender, Taken(self.term, message.upto, 0, message.round))
+            return
+        if self.role is not Role.FOLLOWER or self.leader != sender:
+            self._follow(now, message.term, sender)
+        self.heard_leader, self._election_at = now, now + self._drawn()
+        if message.upto <= self.commit:
+            self._say(sender, Appended(self.term, True, self.commit, message.round))
+            return
+        which = (message.upto, message.last_term, message.total, message.check)
+        if self._incoming is None or self._incoming[0] != which:
+            self._incoming = (which, bytearray())
+        data = self._incoming[1]
+        if message.offset <= len(data):
+            data[message.offset:] = message.data
+        if len(data) < message.total:
+            self._say(sender, Taken(self.term, message.upto, len(data), message.round))
+            return
+        self._incoming = None
+        if zlib.crc32(data) != message.check:
+            self._say(sender, Taken(self.term, message.upto, 0, message.round))
+            return
+        self._install(Snapshot(message.upto, message.last_term, message.members, bytes(data)))
+        self._say(sender, Appended(self.term, True, message.upto, message.round))
+
+    def _install(self, snapshot: Snapshot) -> None:
+        """Take over a leader's state, unless the log has come there meanwhile."""
+        if snapshot.upto <= self.last and self.term_at(snapshot.upto) == snapshot.term:
+            self._commit(snapshot.upto)
+            return
+        self.snapshot, self.log, self.size = snapshot, [], 0
+        self.base, self.base_term = snapshot.upto, snapshot.term
+        self.commit = self.applied = snapshot.upto
+        self.members = snapshot.members
+        self._effects += [Persist(self.term, self.vote, 0, (), snapshot, snapshot.upto, True), Restore(snapshot)]
+
+    def _taken(self, now: float, sender: str, message: Taken) -> None:
+        progress = self._progress.get(sender)
+        if progress is None:
+            return
+        progress.heard, progress.round = now, max(progress.round, message.round)
+        if message.upto == progress.piece[0]:
+            progress.piece, progress.sent = (message.upto, message.offset), False
+        self._replicate(sender)
+        self._answer_reads()
+
     # --- reads, handing over ---
 
     def _answer_reads(self) -> None:
--- /dev/null
+++ b/chutepin/agree/identity.py
@@ -0,0 +1,83 @@
+"""As whom a node takes part: a voter whose store was lost must never vote as the one that it was. Pure.
+
+Each store is born with a number of chance. A voter that the operator's file names votes under its plain name, but only
+once *all* other voters of the file have met this very store: whoever met an earlier one under that name says so, and
+the node is `lost`. All others, and lost ones, are known as name~number; as such an operator may let them vote."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class Meet(NamedTuple):
+    """A voter with a new store: know me by this number. `born`: of the sender's store."""
+
+    name: str
+    born: str
+
+
+class Met(NamedTuple):
+    """The answer: the sender knows that voter by the number `known`."""
+
+    name: str
+    known: str
+
+
+class Standing(Enum):
+    """How far a node's store is known."""
+
+    FORMING = "forming"  # not all other voters of the file have met it yet
+    SETTLED = "settled"  # it votes under its plain name
+    LOST = "lost"  # another store was known under this name
+    FOLLOWS = "follows"  # the file does not name it
+
+
+class Identity:
+    """Of one node. `standing`, `born` and `met` are durable; the edge keeps them where `changed` says so."""
+
+    def __init__(self, name: str, voters: tuple[str, ...], born: str, standing: Standing | None,
+                 met: dict[str, str]) -> None:
+        """`standing`: as it was kept, None of a new store. `met`: other voters' numbers."""
+        self._name, self._voters, self.born, self.met = name, voters, born, met
+        if standing is None:
+            standing = Standing.FORMING if name in voters else Standing.FOLLOWS
+        if standing is Standing.FORMING and len(voters) == 1:
+            standing = Standing.SETTLED
+        self.standing = standing
+        self._said: set[str] = set()  # who has met this store
+
+    @property
+    def identity(self) -> str:
+        """Under which name this node speaks."""
+        plain = self.standing in (Standing.SETTLED, Standing.FORMING)
+        return self._name if plain else f"{self._name}~{self.born}"
+
+    @property
+    def others(self) -> tuple[str, ...]:
+        """Voters that have yet to meet this store."""
+        return tuple(name for name in self._voters if name != self._name and name not in self._said)
+
+    def meet(self, sender: str, word: Meet) -> Met | None:
+        """Another voter's store. What comes out may be said once `met` is durable."""
+        if word.name != sender or word.name not in self._voters or self._name not in self._voters:
+            return None
+        return Met(word.name, self.met.setdefault(word.name, word.born))
+
+    def answered(self, sender: str, word: Met) -> bool:
+        """What another voter knows; whether the standing has changed, and must be durable before a word is said."""
+        if self.standing is not Standing.FORMING or word.name != self._name or sender not in self._voters:
+            return False
+        if word.known != self.born:
+            self.standing = Standing.LOST
+            return True
+        self._said.add(sender)
+        if self.others:
+            return False
+        self.standing = Standing.SETTLED
+        return True
+
+
+def plain(identity: str) -> str:
+    """The node's name."""
+    return identity.partition("~")[0]
--- /dev/null
+++ b/chutepin/agree/member.py
@@ -0,0 +1,438 @@
+"""One node's part in the log in common: consensus, the state that follows, and who waits for what. Pure.
+
+Times and chance are arguments; what is to be done comes out of `take`, in order. Nothing behind a `Persist` may be
+done before it is durable; `Apply`, `Restore` and `Readable` are to be given back by `done` when their turn has come.
+The same text runs in the node and in the simulator."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from .core import Core, Durable, RefusedError, Role, Times
+from .identity import plain
+from .messages import Apply, Entry, Message, Persist, Readable, Restore, Snapshot, Voters
+from .messages import Send as CoreSend
+from .observer import Feed, Observer, Pull, Subscribers
+from .replica import MAX_PROPOSAL, Machine, Outcome, Proposal, Replica, State, new_id, pack
+
+MAX_WAITING = 256  # proposals and reads of this node that are not decided yet
+MAX_FORWARDED = 1024  # reads of others that wait for their round
+
+
+class Forward(NamedTuple):
+    """Propose this for me; it is `replica.pack`ed."""
+
+    id: bytes
+    version: int
+    data: bytes
+
+
+class Rejected(NamedTuple):
+    """Nothing was done about the proposal with that id. `final`: nor will be, whoever is asked."""
+
+    id: bytes
+    why: str
+    final: bool
+
+
+class ReadAsk(NamedTuple):
+    """From which index on does a read see all that is agreed now?"""
+
+    number: int
+
+
+class ReadAt(NamedTuple):
+    """From this one on; -1: ask elsewhere."""
+
+    number: int
+    upto: int
+
+
+Word = Message | Forward | Rejected | ReadAsk | ReadAt | Pull | Feed
+
+
+class Send(NamedTuple):
+    """A word for another member."""
+
+    to: str
+    word: Word
+
+
+class Answer(NamedTuple):
+    """To whoever holds this ticket."""
+
+    ticket: int
+    outcome: Outcome
+
+
+class Tell(NamedTuple):
+    """For the log and operators."""
+
+    what: str
+    fields: dict[str, object]
+
+
+Effect = Persist | Apply | Restore | Readable | Send | Answer | Tell
+
+
+@dataclass(slots=True)
+class _Proposed:
+    ticket: int
+    version: int
+    data: bytes
+    by: float
+    next: float  # ask again
+    repeated: bool  # an earlier try may be on its way
+
+
+@dataclass(slots=True)
+class _Read:
+    ticket: int
+    by: float
+    next: float
+    upto: int = -1  # once it is known
+
+
+class Member:
+    """One node."""
+
+    def __init__(self, name: str, first: Voters, durable: Durable, machine: Machine, now: float, rng: random.Random,
+                 times: Times) -> None:
+        """`durable` is what the journal holds; `first` who votes before the log says otherwise."""
+        self.name, self._times, self._rng = name, times, rng
+        self.core = Core(name, first, durable, now, rng, times)
+        self.replica = Replica(machine)
+        self.observer = Observer(name, now, rng, times.heartbeat)
+        self.subscribers = Subscribers(times.piece, times.heartbeat)
+        self.alive: tuple[str, ...] = ()  # nodes that live; the edge keeps it
+        self.known: dict[str, tuple[str, int]] = {}  # a node to its identity and the version of entries that it knows
+        self.counts: Counter[str] = Counter()
+        self._proposed: dict[bytes, _Proposed] = {}
+        self._reads: dict[int, _Read] = {}
+        self._forwarded: dict[int, tuple[str, int]] = {}  # a read of the core to who asked, and its number
+        self._number = self._ticket = 0
+        self._was: tuple[Role, int, str] = (Role.FOLLOWER, 0, "")
+        self._members = self.core.members
+        self._effects: list[Effect] = []
+        self._from_core()
+
+    # --- in and out ---
+
+    def take(self) -> list[Effect]:
+        """What is to be done since the last time, in order."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def wake_at(self) -> float:
+        """When `tick` is due."""
+        at = min(self.core.wake_at(), self.subscribers.wake_at())
+        if not self.votes:
+            at = min(at, self.observer.wake_at())
+        return min((at, *(min(waiting.by, waiting.next) for waiting in self._proposed.values()),
+                    *(min(waiting.by, waiting.next) for waiting in self._reads.values())))
+
+    @property
+    def votes(self) -> bool:
+        """It is told everything by the leader itself, as a voter or to become one."""
+        return self.name in self.core.members.everybody
+
+    @property
+    def leader(self) -> str:
+        """Who leads, as far as is known here; empty for nobody."""
+        return self.core.leader if self.votes else self.observer.leader
+
+    @property
+    def members(self) -> Voters:
+        """Who takes part, as far as is known here."""
+        return self.core.members if self.votes or not self.observer.members.voters else self.observer.members
+
+    @property
+    def waiting(self) -> int:
+        """Proposals and reads that are not decided yet."""
+        return len(self._proposed) + len(self._reads)
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        if now >= self.core.wake_at():
+            self.core.tick(now)
+            self._from_core()
+        if not self.votes and now >= self.observer.wake_at():
+            if (pull := self.observer.pull(now, self.replica.applied, self.members.voters)) is not None:
+                self._effects.append(Send(*pull))
+        self._feed(now)
+        self._again(now)
+        self._changed()
+
+    def met(self, identity: str, version: int) -> None:
+        """A node that speaks, as whom, and what it knows."""
+        if plain(identity) in self.alive or plain(identity) in self.known:
+            self.known[plain(identity)] = identity, version
+
+    def receive(self, now: float, sender: str, word: Word) -> None:
+        """Take in what another member says."""
+        match word:
+            case Forward():
+                self._forward(now, sender, word)
+            case Rejected():
+                self._rejected(now, word)
+            case ReadAsk():
+                self._asked(now, sender, word.number)
+            case ReadAt():
+                self._readable(now, word.number, word.upto)
+            case Pull():
+                self.subscribers.ask(now, sender, word)
+                self._feed(now)
+            case Feed():
+                self._fed(now, sender, word)
+            case _:
+                self.core.receive(now, sender, word)
+                self._from_core()
+        self._changed()
+
+    def done(self, now: float, effect: Apply | Restore | Readable) -> None:
+        """The turn of one of these effects has come: all before it is durable."""
+        match effect:
+            case Apply():
+                self._apply(now, effect.entries)
+            case Restore():
+                self._restore(now, effect.snapshot)
+            case Readable():
+                sender, number = self._forwarded.pop(effect.id, ("", -1))
+                if sender == self.name:
+                    self._readable(now, number, effect.index)
+                elif sender:
+                    self._effects.append(Send(sender, ReadAt(number, effect.index)))
+
+    def _from_core(self) -> None:
+        for effect in self.core.take():
+            self._effects.append(Send(*effect) if isinstance(effect, CoreSend) else effect)
+
+    def _changed(self) -> None:
+        """Say what an operator may want to know."""
+        core = self.core
+        now = (core.role, core.term, self.leader)
+        if (core.role is Role.LEADER) != (self._was[0] is Role.LEADER) or now[2] != self._was[2]:
+            what = "leads" if core.role is Role.LEADER else "follows" if self.leader else "no_leader"
+            self.counts[what] += 1
+            self._effects.append(Tell(what, {"leader": self.leader, "term": core.term}))
+        self._was = now
+        if self.members != self._members:
+            self._members = self.members
+            self._effects.append(Tell("members", {"voters": ",".join(self._members.voters),
+                                                  "learners": ",".join(self._members.learners)}))
+
+    # --- the state ---
+
+    def _apply(self, now: float, entries: tuple[Entry, ...]) -> None:
+        for id, outcome in self.replica.apply(entries):
+            if (proposed := self._proposed.pop(id, None)) is not None:
+                self._answer(proposed.ticket, outcome)
+        self._reads_done()
+        self.core.spread()
+        self._from_core()
+        self._feed(now)
+
+    def _restore(self, now: float, snapshot: Snapshot) -> None:
+        try:
+            if not self.replica.restore(snapshot):
+                return
+        except ValueError as error:
+            self._effects.append(Tell("unknown_format", {"why": str(error)}))
+            return
+        for id in list(self._proposed):  # what was decided by an entry that was never seen here
+            if (outcome := self.replica.outcome(id)) is not None:
+                self._answer(self._proposed.pop(id).ticket, outcome)
+        self._reads_done()
+        self._feed(now)
+
+    def compact(self, now: float) -> None:
+        """Keep the state, and let go of the log that led to it."""
+        if self.replica.applied == self.core.applied:  # else effects of the core are on their way here
+            self.core.compact(now, self.replica.snapshot())
+            self._from_core()
+
+    # --- proposals ---
+
+    def new_id(self) -> bytes:
+        """For a proposal that is made now."""
+        return new_id(self.replica.applied, self._rng.getrandbits(64))
+
+    def propose(self, now: float, id: bytes, data: bytes, by: float, version: int = 1, *, repeated: bool = False,
+                void: bool = False) -> int:
+        """Have something agreed. `repeated`: it was proposed before under this id, and may have been agreed; it counts
+        once. `void`: make sure that the one with this id never comes, if it has not yet. The ticket; its `Answer` comes
+        by `by` (unknown then), or at once where nothing can be done."""
+        repeated = repeated or void
+        self._ticket += 1
+        if (outcome := self.replica.outcome(id)) is not None:
+            self._answer(self._ticket, outcome)
+        elif (why := self._why_not(id, data)) is not None:
+            self.counts["refused"] += 1
+            state = State.UNKNOWN if repeated or id in self._proposed else State.REFUSED
+            self._answer(self._ticket, Outcome(state, why=why, again=self._times.election))
+        else:
+            packed = pack(Proposal(id, version, data, void))
+            self._proposed[id] = _Proposed(self._ticket, version, packed, by, now + self._later(), repeated)
+            self._say(now, id)
+        return self._ticket
+
+    def _why_not(self, id: bytes, data: bytes) -> str | None:
+        if len(id) != 16 or len(data) > MAX_PROPOSAL:
+            return f"an id has 16 bytes, a proposal up to {MAX_PROPOSAL}"
+        if id in self._proposed:
+            return "under way"
+        if self.waiting >= MAX_WAITING:
+            return "full"
+        return None if self.leader else "no leader"
+
+    def _later(self) -> float:
+        return self._times.election * (0.5 + 0.5 * self._rng.random())
+
+    def _say(self, now: float, id: bytes) -> None:
+        """Bring a proposal to the leader."""
+        proposed = self._proposed[id]
+        word = Forward(id, proposed.version, proposed.data)
+        if self.core.role is Role.LEADER:
+            self._forward(now, self.name, word)
+        elif self.leader:
+            self._effects.append(Send(self.leader, word))
+
+    def _forward(self, now: float, sender: str, word: Forward) -> None:
+        """The leader's part."""
+        there = {*self.alive, *map(plain, self.core.members.everybody)}
+        for name in self.known.keys() - there:
+            del self.known[name]
+        old = sorted(name for name, (_, version) in self.known.items() if version < word.version)
+        try:
+            if old:
+                raise RefusedError(f"{old[0]} does not know version {word.version}")
+            if self.core.size > 2 * self._times.log:
+                raise RefusedError("full")
+            if self.replica.outcome(word.id) is None:
+                self.core.propose(now, word.data)
+                self._from_core()
+        except RefusedError as error:
+            rejected = Rejected(word.id, str(error), bool(old))
+            if sender == self.name:
+                self._rejected(now, rejected)
+            else:
+                self._effects.append(Send(sender, rejected))
+
+    def _rejected(self, now: float, word: Rejected) -> None:
+        """Ask again soon, or not at all. Where an earlier try may be on its way it stays unknown."""
+        proposed = self._proposed.get(word.id)
+        if proposed is None:
+            return
+        if word.final:
+            del self._proposed[word.id]
+            self._answer(proposed.ticket, Outcome(State.UNKNOWN if proposed.repeated else State.REFUSED, why=word.why))
+        else:
+            proposed.next = min(proposed.next, now + self._times.heartbeat)
+
+    def _again(self, now: float) -> None:
+        """What was not decided in time is asked for again, or is unknown from now on."""
+        for id, proposed in list(self._proposed.items()):
+            if now >= proposed.by:
+                del self._proposed[id]
+                self._answer(proposed.ticket, Outcome(State.UNKNOWN, why="not decided in time"))
+            elif now >= proposed.next:
+                proposed.next, proposed.repeated = now + self._later(), True
+                self._say(now, id)
+        for number, read in list(self._reads.items()):
+            if now >= read.by:
+                del self._reads[number]
+                self._answer(read.ticket, Outcome(State.REFUSED, why="no leader answered in time",
+                                                  again=self._times.election))
+            elif now >= read.next:
+                read.next = now + self._later()
+                if read.upto < 0:
+                    self._ask(now, number)
+
+    def _answer(self, ticket: int, outcome: Outcome) -> None:
+        self._effects.append(Answer(ticket, outcome))
+
+    # --- reads ---
+
+    def read(self, now: float, by: float) -> int:
+        """Have this copy come to where it shows all that is agreed at this moment; the ticket. The answer is `AGREED`
+        with the index up to which it then shows, or `REFUSED`."""
+        self._ticket += 1
+        self._number += 1
+        if self.waiting >= MAX_WAITING or not self.leader:
+            why = "no leader" if not self.leader else "full"
+            self._answer(self._ticket, Outcome(State.REFUSED, why=why, again=self._times.election))
+        else:
+            self._reads[self._number] = _Read(self._ticket, by, now + self._later())
+            self._ask(now, self._number)
+        return self._ticket
+
+    def _ask(self, now: float, number: int) -> None:
+        if self.core.role is Role.LEADER:
+            self._asked(now, self.name, number)
+        elif self.leader:
+            self._effects.append(Send(self.leader, ReadAsk(number)))
+
+    def _asked(self, now: float, sender: str, number: int) -> None:
+        if len(self._forwarded) >= MAX_FORWARDED:
+            return
+        self._number += 1
+        try:
+            self._forwarded[self._number] = sender, number
+            self.core.read(now, self._number)
+            self._from_core()
+        except RefusedError:
+            del self._forwarded[self._number]
+            if sender != self.name:
+                self._effects.append(Send(sender, ReadAt(number, -1)))
+
+    def _readable(self, now: float, number: int, upto: int) -> None:
+        read = self._reads.get(number)
+        if read is None:
+            return
+        if upto < 0:
+            read.next = min(read.next, now + self._times.heartbeat)
+        elif read.upto < 0:
+            read.upto = upto
+            self._reads_done()
+
+    def _reads_done(self) -> None:
+        for number, read in list(self._reads.items()):
+            if 0 <= read.upto <= self.replica.applied:
+                del self._reads[number]
+                self._answer(read.ticket, Outcome(State.AGREED, self.replica.applied))
+
+    # --- those that follow ---
+
+    def _feed(self, now: float) -> None:
+        """Tell those that asked what is new."""
+        fresh = now if self.core.role is Role.LEADER else self.core.heard_leader if self.votes else self.observer.fresh
+        for to, feed in self.subscribers.feeds(now, self.core, self.observer, self.replica.applied, self.leader, fresh,
+                                               0 if self.votes else self.observer.depth, self._state):
+            self._effects.append(Send(to, feed))
+
+    def _state(self) -> Snapshot:
+        return Snapshot(self.replica.applied, 0, self.members, self.replica.snapshot())
+
+    def _fed(self, now: float, sender: str, feed: Feed) -> None:
+        """News from whom this member follows."""
+        snapshot = self.observer.fed(now, sender, feed, self.replica.applied)
+        if snapshot is not None:
+            self._effects.append(Restore(snapshot))
+        if feed.entries:
+            self._effects.append(Apply(feed.entries))
+
+    # --- operators ---
+
+    def hand_over(self, now: float, to: str) -> None:
+        """Have another voter lead. Raises RefusedError."""
+        self.core.hand_over(now, to)
+        self._from_core()
+
+    def change(self, now: float, members: Voters) -> None:
+        """Change who takes part. Raises RefusedError."""
+        self.core.change(now, members)
+        self._from_core()
+        self._changed()
--- a/chutepin/agree/messages.py
+++ b/chutepin/agree/messages.py
@@ -27,6 +27,15 @@
         return self.voters + self.learners
 
 
+class Snapshot(NamedTuple):
+    """The state after the entry at `upto`, as bytes, and who took part then."""
+
+    upto: int
+    term: int
+    members: Voters
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Entry:
     """One entry of the log. `members` only of a change of voters."""
@@ -77,13 +86,37 @@
     round: int
 
 
+class Piece(NamedTuple):
+    """A part of the leader's snapshot, for a follower whose next entry the leader has no more. `check` is the sum of
+    the whole: what a follower has of an earlier leader's counts only if it is part of the same bytes."""
+
+    term: int
+    upto: int
+    last_term: int
+    members: Voters
+    total: int
+    check: int
+    offset: int
+    data: bytes
+    round: int
+
+
+class Taken(NamedTuple):
+    """So many bytes of the snapshot at `upto` are here."""
+
+    term: int
+    upto: int
+    offset: int
+    round: int
+
+
 class Begin(NamedTuple):
     """The leader hands over: begin an election at once."""
 
     term: int
 
 
-Message = Ask | Vote | Append | Appended | Begin
+Message = Ask | Vote | Append | Appended | Piece | Taken | Begin
 
 
 class Send(NamedTuple):
@@ -95,12 +128,22 @@
 
 class Persist(NamedTuple):
     """Make this durable before anything behind it is done: term and vote, and the log from `first` on, which replaces
-    what stood there."""
+    what stood there. With a snapshot, that too; the log then begins behind `base`, and with `anew` nothing of the
+    former log holds."""
 
     term: int
     vote: str
     first: int
     entries: tuple[Entry, ...]
+    snapshot: Snapshot | None = None
+    base: int = 0
+    anew: bool = False
+
+
+class Restore(NamedTuple):
+    """The state is that of the snapshot, whatever was applied before."""
+
+    snapshot: Snapshot
 
 
 class Apply(NamedTuple):
@@ -117,4 +160,4 @@
     index: int
 
 
-Effect = Send | Persist | Apply | Readable
+Effect = Send | Persist | Apply | Restore | Readable
--- /dev/null
+++ b/chutepin/agree/observer.py
@@ -0,0 +1,193 @@
+"""Those that follow the log without a vote, and follow each other, so that many of them do not load the leader. Pure.
+
+An observer asks one member (`Pull`), which answers once (`Feed`), when there is news or after a heartbeat. It is only
+told what is agreed, so it needs no vote, no term and no disk: after a restart it asks from nothing."""
+
+from __future__ import annotations
+
+import math
+import random
+import zlib
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from .core import Core
+from .identity import plain
+from .messages import Entry, Snapshot, Voters
+
+FAN = 8  # observers that one member serves directly, about
+MOST = 64  # that may ask at once
+KEPT = 256 * 1024  # bytes of entries that an observer can pass on
+HOLD, AGAIN = 4.0, 6.0  # heartbeats: an answer without news waits so long; then the question comes again
+SILENT = 15.0  # heartbeats without news of a leader after which somebody else is asked
+MAX_DEPTH = 16
+
+
+class Pull(NamedTuple):
+    """Tell me what is agreed behind `applied`; of the snapshot at `upto` I have `offset` bytes. `depth` is the asker's
+    distance from a voter: who is as far away itself has nothing to give."""
+
+    applied: int
+    upto: int
+    offset: int
+    depth: int
+
+
+class Feed(NamedTuple):
+    """Entries behind what was asked for, or a piece of the snapshot at `upto`; who takes part, who leads, how
+    many milliseconds ago that was heard (-1: not lately), and how far from a voter the sender is."""
+
+    entries: tuple[Entry, ...]
+    leader: str
+    age: int
+    depth: int
+    members: Voters
+    upto: int
+    last_term: int
+    total: int
+    check: int
+    offset: int
+    data: bytes
+
+
+class Observer:
+    """What a member without a vote knows of whom it follows."""
+
+    def __init__(self, name: str, now: float, rng: random.Random, every: float) -> None:
+        self.name, self._rng, self._every = name, rng, every
+        self.others: tuple[str, ...] = ()  # observers that live, this one among them, sorted; the edge keeps it
+        self.leader, self.fresh, self.depth = "", -math.inf, MAX_DEPTH
+        self.upstream = ""
+        self.kept: deque[Entry] = deque()
+        self._kept = 0  # bytes
+        self.snapshot: Snapshot | None = None  # for those that ask this one
+        self.members = Voters(())
+        self._incoming: tuple[tuple[int, int, int], bytearray] | None = None
+        self._at = now  # when to ask
+        self._since = now  # when this upstream was chosen, or last had news
+
+    def wake_at(self) -> float:
+        """When `pull` is due."""
+        return self._at
+
+    def pull(self, now: float, applied: int, voters: tuple[str, ...]) -> tuple[str, Pull] | None:
+        """Whom to ask what."""
+        self._at = now + AGAIN * self._every
+        if now - self.fresh > 2 * SILENT * self._every:
+            self.leader, self.depth = "", MAX_DEPTH
+        if now - self._since > SILENT * self._every or not self.upstream:
+            self._choose(now, voters)
+        if not self.upstream:
+            return None
+        at, offset = (self._incoming[0][0], len(self._incoming[1])) if self._incoming is not None else (0, 0)
+        return self.upstream, Pull(applied, at, offset, self.depth)
+
+    def _choose(self, now: float, voters: tuple[str, ...]) -> None:
+        """By its place among the observers, so that each serves a few; where that one is silent any voter will do."""
+        self._since = now
+        others = self.others or (self.name,)
+        me = plain(self.name)
+        place = others.index(me) if me in others else 0
+        at = place - FAN * len(voters)
+        wanted = voters[place % len(voters)] if voters and at < 0 else others[at // FAN] if others and at >= 0 else ""
+        if plain(wanted) in (plain(self.upstream), me):
+            wanted = self._rng.choice(voters) if voters else ""
+        self.upstream = wanted
+
+    def fed(self, now: float, sender: str, feed: Feed, applied: int) -> Snapshot | None:
+        """Take in news; a snapshot that is whole now. The next question is due at once where there is more."""
+        if plain(sender) != plain(self.upstream) or feed.depth >= MAX_DEPTH:
+            return None
+        if feed.age >= 0:
+            self._since, self.depth = now, feed.depth + 1
+            if now - feed.age / 1000 >= self.fresh:
+                self.members = feed.members
+                self.leader, self.fresh = feed.leader, now - feed.age / 1000
+        else:
+            self.depth = MAX_DEPTH
+        self._at = now if feed.entries or feed.total else now + 0.01
+        for entry in feed.entries:
+            if not self.kept or entry.index == self.kept[-1].index + 1:
+                self.kept.append(entry)
+                self._kept += len(entry.data) + 32
+        while self._kept > KEPT:
+            self._kept -= len(self.kept.popleft().data) + 32
+        if not feed.total or feed.upto <= applied:
+            return None
+        return self._piece(feed)
+
+    def _piece(self, feed: Feed) -> Snapshot | None:
+        which = (feed.upto, feed.total, feed.check)
+        if self._incoming is None or self._incoming[0] != which:
+            self._incoming = (which, bytearray())
+        data = self._incoming[1]
+        if feed.offset <= len(data):
+            data[feed.offset:] = feed.data
+        if len(data) < feed.total:
+            return None
+        self._incoming = None
+        if zlib.crc32(data) != feed.check:
+            return None
+        self.kept.clear()
+        self._kept = 0
+        self.snapshot = Snapshot(feed.upto, feed.last_term, feed.members, bytes(data))
+        return self.snapshot
+
+
+class Subscribers:
+    """Those that have asked this member and wait for news."""
+
+    def __init__(self, piece: int, every: float) -> None:
+        """`piece`: bytes in one answer. `every`: seconds of a heartbeat."""
+        self._piece, self._hold = piece, HOLD * every
+        self._waiting: dict[str, tuple[float, Pull]] = {}  # until when, what
+        self.refused = 0
+
+    def wake_at(self) -> float:
+        """When an answer without news is due."""
+        return min((until for until, _ in self._waiting.values()), default=math.inf)
+
+    def ask(self, now: float, sender: str, pull: Pull) -> None:
+        """Somebody asks."""
+        if sender not in self._waiting and len(self._waiting) >= MOST:
+            self.refused += 1
+            return
+        self._waiting[sender] = (now + self._hold, pull)
+
+    def feeds(self, now: float, core: Core, observer: Observer, applied: int, leader: str, fresh: float,
+              depth: int, make: Callable[[], Snapshot]) -> Iterator[tuple[str, Feed]]:
+        """Answers that are due. `make`: the state of now, for one that lacks more than is kept here."""
+        if not self._waiting:
+            return
+        age = int(1000 * (now - fresh)) if leader and now - fresh < 60 else -1
+        for name, (until, pull) in list(self._waiting.items()):
+            if applied <= pull.applied and now < until:
+                continue
+            del self._waiting[name]
+            if pull.depth < depth < MAX_DEPTH:  # who is nearer to a voter itself: nothing may go round in a circle
+                yield name, Feed((), "", -1, MAX_DEPTH, Voters(()), 0, 0, 0, 0, 0, b"")
+                continue
+            yield name, self._answer(core, observer, pull, applied, leader, age, depth, make)
+
+    def _answer(self, core: Core, observer: Observer, pull: Pull, applied: int, leader: str, age: int,
+                depth: int, make: Callable[[], Snapshot]) -> Feed:
+        entries, size = list[Entry](), 0
+        mine: Iterator[Entry] = iter(core.log) if core.last >= applied and core.base <= pull.applied \
+            else iter(observer.kept)
+        for entry in mine:
+            if pull.applied < entry.index <= applied:
+                if entry.index != pull.applied + len(entries) + 1 or size > self._piece:
+                    break
+                entries.append(entry)
+                size += len(entry.data) + 32
+        follows = core.last < applied
+        head = (tuple(entries), leader, age, depth, observer.members if follows else core.members)
+        if entries or applied <= pull.applied:
+            return Feed(*head, 0, 0, 0, 0, 0, b"")
+        snapshot = observer.snapshot if follows else core.snapshot
+        if snapshot is None or snapshot.upto <= pull.applied:
+            snapshot = observer.snapshot = make()
+        offset = pull.offset if pull.upto == snapshot.upto else 0
+        return Feed(*head, snapshot.upto, snapshot.term, len(snapshot.data),
+                    zlib.crc32(snapshot.data), offset, snapshot.data[offset:offset + self._piece])
--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -151,7 +151,8 @@
 
     # --- sending ---
 
-    def _address(self, name: str) -> str | None:
+    def address(self, name: str) -> str | None:
+        """Where a member is dialled."""
         if (found := self._reach.get(name)) is not None:
             return found
         member = self.view.table.members.get(name)
@@ -167,7 +168,7 @@
         return Packet(to, view.me, view.life, self._number, view.digest, body, tuple(updates))
 
     def _send(self, to: str, body: Body, first: Iterable[Update] = ()) -> None:
-        address = self._address(to)
+        address = self.address(to)
         if address is not None:
             self._effects.append(Send(address, self._packet(to, body, first)))
 
@@ -339,7 +340,7 @@
             case _:
                 pass
         differs = believed and packet.digest != self.view.digest and isinstance(body, (Ping, Ack))
-        if differs and now >= self._next_sync and not self.leaving and (address := self._address(sender)) is not None:
+        if differs and now >= self._next_sync and not self.leaving and (address := self.address(sender)) is not None:
             self._sync(now, sender, address)
 
     def _synced(self, now: float, packet: Packet, believed: bool) -> None:
@@ -424,7 +425,7 @@
             self.health.better()
             if probe.why is Why.BACK and subject in view.table.members and now >= self._next_back:
                 self._next_back = now + self._setup.join_every
-                self._sync(now, subject, self._address(subject) or "")
+                self._sync(now, subject, self.address(subject) or "")
             if self._accusations.pop(subject, None) is not None:
                 view.tell("withdrawn", subject, by=self.me.name)
             if not probe.direct:
--- a/chutepin/cluster/subsystem.py
+++ b/chutepin/cluster/subsystem.py
@@ -7,13 +7,14 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Coroutine, Iterable
+from typing import TYPE_CHECKING, Any
 
 from ..admission import Ledger
 from ..config import ConfigError
 from ..config.cluster import ClusterSetup
 from ..ops import Counters, Log
+from ..subsystem import Order
 from .detector import Answer, Detector, Effect, Send
 from .incarnation import Incarnations
 from .messages import Packet
@@ -128,6 +129,10 @@
             self._detector.leave(time.monotonic())
             self._carry_out(self._detector.take())
 
+    def orders(self) -> dict[str, Order]:
+        """None."""
+        return {}
+
     def figures(self) -> dict[str, int]:
         """Counts of the detector."""
         view, health = self._detector.view, self._detector.health
@@ -136,6 +141,25 @@
                          "cluster.accused": view.accused, "cluster.no_room": view.table.refused,
                          "cluster.queue_dropped": view.queue.dropped, "cluster.links_unsaid": view.links.unsaid}
 
+    # --- for parts that speak to other members themselves ---
+
+    def address(self, name: str) -> str | None:
+        """Where this node dials a member."""
+        return self._detector.address(name)
+
+    def alive(self) -> list[str]:
+        """Members that are held for alive or suspect, this one among them."""
+        return sorted([self._name, *self._detector.view.table.live()])
+
+    def takes(self, preface: bytes, handler: Callable[[socket.socket, bytes], Coroutine[Any, Any, None]]) -> None:
+        """Who takes over connections that begin with these four bytes; it is given what was read behind them."""
+        self._transport.streams[preface] = handler
+
+    @property
+    def cluster(self) -> str:
+        """The cluster's name."""
+        return self._setup.name
+
     # --- the loop ---
 
     def _deliver(self, packet: Packet, stream: bool) -> Packet | None:
--- a/chutepin/cluster/transport.py
+++ b/chutepin/cluster/transport.py
@@ -24,6 +24,7 @@
 MOST_SERVED = 50  # exchanges that others begin, in a second: each may cost milliseconds in a large cluster
 BY = 3.0  # seconds in which an exchange must be over
 PIECE = 65536  # bytes read at a time
+PREFACE = 4  # bytes that tell what a connection is for: the length of a frame, or one of `streams`
 READS = 64  # datagrams in a turn of the loop, so that the front has its turn in between
 SLICE = 0.05  # seconds
 # In a slice: datagrams that are read (3 microseconds each), and of these frames that are unpacked (30 each). A flood
@@ -58,6 +59,8 @@
         self._paused: asyncio.TimerHandle | None = None
         self._logged: dict[str, tuple[float, int]] = {}  # by reason: when it was logged, how many since
         self._open = False
+        # What a connection may begin with in place of a frame, and who takes it over then.
+        self.streams: dict[bytes, Callable[[socket.socket, bytes], Coroutine[Any, Any, None]]] = {}
         self.overrun = False  # datagrams had to wait since this was last looked at
 
     # --- sockets ---
@@ -242,21 +245,31 @@
         task.add_done_callback(ended)
         return task
 
-    async def _frame(self, sock: socket.socket) -> Packet:
-        """The one frame of the other side. Raises FrameError, OSError."""
-        loop, reader = asyncio.get_running_loop(), StreamReader()
-        while True:
-            data = await loop.sock_recv(sock, PIECE)
-            if not data:
-                raise FrameError("truncated")
-            if (frame := reader.feed(data)) is not None:
-                return decode(frame, self._cluster, True)
+    async def _frame(self, sock: socket.socket, begun: bytes = b"") -> Packet:
+        """The one frame of the other side; `begun` was read already. Raises FrameError, OSError."""
+        reader, data = StreamReader(), begun
+        while (frame := reader.feed(data)) is None:
+            data = await self._piece(sock)
+        return decode(frame, self._cluster, True)
+
+    async def _piece(self, sock: socket.socket) -> bytes:
+        data = await asyncio.get_running_loop().sock_recv(sock, PIECE)
+        if not data:
+            raise FrameError("truncated")
+        return data
 
     async def _answer(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout_at(loop.time() + BY):
-                packet = await self._frame(sock)
+                begun = await self._piece(sock)
+                while len(begun) < PREFACE:
+                    begun += await self._piece(sock)
+            if (other := self.streams.get(begun[:PREFACE])) is not None:
+                await other(sock, begun[PREFACE:])
+                return
+            async with asyncio.timeout_at(loop.time() + BY):
+                packet = await self._frame(sock, begun)
                 answer = self._deliver(packet, True) if self._open else None
                 if answer is not None:
                     await loop.sock_sendall(sock, stream_frame(answer, self._cluster))
--- /dev/null
+++ b/chutepin/config/agree.py
@@ -0,0 +1,47 @@
+"""The block `agree` of the operator's file. Loaded only where the block is there."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .cluster import MAX_NAME
+from .operator import TIME, Check, Many, quantity, size, text
+from .platform import ConfigError
+
+
+@dataclass(frozen=True, slots=True)
+class AgreeSetup:
+    """Who votes when the log begins, and the times of elections, in seconds."""
+
+    voters: tuple[str, ...]
+    election: float = 1.0  # without a leader before a vote is asked for; up to twice that, drawn
+    heartbeat: float = 0.2
+    log: int = 2**20  # bytes of entries after which the state is kept and the log begins anew
+
+
+def _name(raw: Any, name: str) -> str:
+    word = text(raw, name)
+    if len(word) > MAX_NAME or not word.isprintable() or any(sign in word for sign in " =~"):
+        raise ConfigError(f"{name}: not a member's name of up to {MAX_NAME} characters")
+    return word
+
+
+KNOWN: Mapping[str, Check | Many] = {
+    "voters": Many(_name), "election": quantity(TIME, 0.1, 60.0), "heartbeat": quantity(TIME, 0.02, 10.0),
+    "log": size(2**16, 2**26)}
+
+
+def checked(values: dict[str, Any]) -> AgreeSetup:
+    """The block's values, whole. Raises ConfigError."""
+    if "voters" not in values:
+        raise ConfigError("agree.voters: missing")
+    setup = AgreeSetup(**values)
+    if len(set(setup.voters)) != len(setup.voters):
+        raise ConfigError("agree.voters: a member stands there twice")
+    if len(setup.voters) not in (1, 3, 5, 7):
+        raise ConfigError("agree.voters: 1, 3, 5 or 7 members")
+    if setup.heartbeat * 3 > setup.election:
+        raise ConfigError("agree.heartbeat: more than a third of agree.election")
+    return setup
--- a/chutepin/config/cluster.py
+++ b/chutepin/config/cluster.py
@@ -78,7 +78,7 @@
     "members": count("members", 2, 2048)}
 
 
-def cluster_setup(values: dict[str, Any]) -> ClusterSetup:
+def checked(values: dict[str, Any]) -> ClusterSetup:
     """The block's values, whole. Raises ConfigError."""
     for name in ("name", "region", "zone", "listen"):
         if name not in values:
--- a/chutepin/config/operator.py
+++ b/chutepin/config/operator.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import importlib
 import ipaddress
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -16,6 +17,7 @@
 from .platform import ConfigError
 
 if TYPE_CHECKING:
+    from .agree import AgreeSetup
     from .cluster import ClusterSetup
 
 TIME = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}  # in seconds
@@ -76,6 +78,7 @@
     store: StoreSetup | None = None
     admission: AdmissionSetup = field(default_factory=AdmissionSetup)
     cluster: ClusterSetup | None = None
+    agree: AgreeSetup | None = None
 
 
 def quantity(units: Mapping[str, float], least: float, most: float) -> Check:
@@ -146,6 +149,8 @@
     return check
 
 
+LAZY = ("cluster", "agree")  # blocks whose fields are loaded only where they are there
+
 BLOCKS: dict[str, dict[str, Check | Many]] = {
     "log": {"format": choice(*(format.value for format in LogFormat))},
     "store": {"directory": text, "segment": size(2**16, 2**30), "max": size(2**19, 2**46),
@@ -195,13 +200,13 @@
         raise ConfigError(f"not KDL: {error}") from None
     blocks: dict[str, dict[str, Any]] = {}
     for node in document.nodes:
-        if node.name not in (*BLOCKS, "cluster"):
-            raise ConfigError(f"{node.name}: unknown block; known are {', '.join(BLOCKS)}, cluster")
+        if node.name not in (*BLOCKS, *LAZY):
+            raise ConfigError(f"{node.name}: unknown block; known are {', '.join((*BLOCKS, *LAZY))}")
         if node.name in blocks:
             raise ConfigError(f"{node.name}: given twice")
-        if node.name == "cluster":  # its fields are loaded only with it
-            from .cluster import KNOWN, cluster_setup
-            blocks[node.name] = {"setup": cluster_setup(_block(node, KNOWN))}
+        if node.name in LAZY:
+            lazy = importlib.import_module(f".{node.name}", __package__)
+            blocks[node.name] = {"setup": lazy.checked(_block(node, lazy.KNOWN))}
         else:
             blocks[node.name] = _block(node, BLOCKS[node.name])
     log = LogSetup(LogFormat(blocks.get("log", {}).get("format", LogFormat.PLAIN.value)))
@@ -209,7 +214,10 @@
     if admission.new_share + admission.reserve > 1 and admission.new_share < 1:
         raise ConfigError("admission.new-share: with admission.reserve more than 100 %")
     store = _store(blocks["store"]) if "store" in blocks else None
-    return Setup(log, store, admission, blocks.get("cluster", {}).get("setup"))
+    cluster, agree = (blocks.get(name, {}).get("setup") for name in LAZY)
+    if agree is not None and (cluster is None or store is None):
+        raise ConfigError(f"agree: needs the block {'cluster' if cluster is None else 'store'} as well")
+    return Setup(log, store, admission, cluster, agree)
 
 
 def _store(values: dict[str, Any]) -> StoreSetup:
--- a/chutepin/lab/explorer.py
+++ b/chutepin/lab/explorer.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, replace
 
 from ..agree.core import Core, Durable, RefusedError, Role, Times
-from ..agree.messages import Apply, Effect, Entry, Message, Persist, Send, Voters
+from ..agree.messages import Apply, Effect, Entry, Message, Persist, Restore, Send, Voters
 
 Packet = tuple[str, str, Message]  # to, from, what
 # Time stands still: nothing may rest on it here. One entry a message: so old entries arrive without newer ones.
@@ -42,6 +42,7 @@
     crashes: int = 0
     twice: int = 0  # messages that come a second time
     changes: tuple[Voters, ...] = ()
+    snapshots: int = 0
 
 
 class BrokenError(Exception):
@@ -68,7 +69,7 @@
     def copy(self) -> World:
         """The same world, to go on with."""
         other = copy.copy(self)
-        other.durable = {name: Durable(d.term, d.vote, d.entries[:]) for name, d in self.durable.items()}
+        other.durable = {name: replace(d, entries=d.entries[:]) for name, d in self.durable.items()}
         other.cores = {name: None if core is None else _cloned(core) for name, core in self.cores.items()}
         other.leaders = dict(self.leaders)
         return other
@@ -92,6 +93,8 @@
 
     def _of(self, name: str, core: Core) -> Iterator[tuple[str, ...]]:
         """What a member that runs may do by itself."""
+        if self.left.snapshots and core.applied > core.base:
+            yield ("compact", name)
         if core.role is not Role.LEADER:
             if self.left.elections and name in core.members.voters:
                 yield ("elect", name)
@@ -145,6 +148,9 @@
             case "propose":
                 self.left = replace(self.left, proposals=self.left.proposals - 1)
                 core.propose(0.0, b"%d" % self.left.proposals)
+            case "compact":  # the state is the log itself: so a wrong one shows
+                self.left = replace(self.left, snapshots=self.left.snapshots - 1)
+                core.compact(0.0, repr(self.agreed[:core.applied]).encode())
             case _:
                 change, *rest = self.left.changes
                 self.left = replace(self.left, changes=tuple(rest))
@@ -161,6 +167,8 @@
                 self.network = tuple(sorted((*self.network, (effect.to, name, effect.message)), key=repr))
             case Apply():
                 self._applied(name, effect.entries)
+            case Restore():
+                self._restored(name, effect)
             case _:
                 pass
 
@@ -176,6 +184,10 @@
                     raise BrokenError(f"{name} applies {entry.index}, agreed is up to {len(self.agreed)}")
                 self.agreed = (*self.agreed, entry)
 
+    def _restored(self, name: str, effect: Restore) -> None:
+        if repr(self.agreed[:effect.snapshot.upto]).encode() != effect.snapshot.data:
+            raise BrokenError(f"{name} takes over a state at {effect.snapshot.upto} that was never agreed")
+
     def _check(self, name: str) -> None:
         core = self.cores[name]
         if core is None:
@@ -184,7 +196,8 @@
             other = self.leaders.setdefault(core.term, name)
             if other != name:
                 raise BrokenError(f"{other} and {name} lead in term {core.term}")
-            if tuple(core.log[:len(self.agreed)]) != self.agreed and core.term >= max(self.leaders):
+            behind = self.agreed[core.base:]
+            if tuple(core.log[:len(behind)]) != behind and core.term >= max(self.leaders):
                 raise BrokenError(f"{name} leads in term {core.term} without an agreed entry")
         for other_core in self.cores.values():
             if other_core is not None and other_core is not core:
@@ -202,7 +215,7 @@
         network = tuple(sorted(repr((new.get(to, to), new.get(sender, sender), message))
                                for to, sender, message in self.network))
         left = (self.left.elections, self.left.proposals, self.left.beats, self.left.crashes, self.left.twice,
-                len(self.left.changes))
+                len(self.left.changes), self.left.snapshots)
         leaders = tuple(sorted((term, new.get(name, name)) for term, name in self.leaders.items()))
         return cores, network, left, leaders, repr(self.agreed)
 
@@ -210,25 +223,31 @@
 def _match(a: Core, b: Core) -> None:
     """Where two logs have an entry of one index and term they are the same up to there."""
     for index in range(min(a.last, b.last), 0, -1):
+        if index <= max(a.base, b.base):
+            return
         if a.term_at(index) == b.term_at(index):
-            if a.log[:index] != b.log[:index]:
+            first = max(a.base, b.base)
+            if a.log[first - a.base:index - a.base] != b.log[first - b.base:index - b.base]:
                 raise BrokenError(f"the logs of {a.name} and {b.name} differ before {index}")
             return
 
 
 def _state(core: Core | None, durable: Durable, new: dict[str, str]) -> str:
-    kept = (durable.term, new.get(durable.vote, durable.vote), durable.entries)
+    kept = (durable.term, new.get(durable.vote, durable.vote), durable.base, durable.snapshot, durable.entries)
     if core is None:
         return repr(kept)
-    progress = sorted((new.get(name, name), p.next, p.match, p.probing, p.flying, p.round)
+    progress = sorted((new.get(name, name), p.next, p.match, p.probing, p.flying, p.round, p.piece, p.sent)
                       for name, p in core._progress.items()) if core.role is Role.LEADER else ()
     votes = sorted(new.get(name, name) for name in core._votes) if core.role is Role.CANDIDATE else ()
-    return repr((kept, core.term, new.get(core.vote, core.vote), core.log, core.role, core.commit, progress, votes))
+    return repr((kept, core.term, new.get(core.vote, core.vote), core.base, core.log, core.role, core.commit,
+                 core._incoming, progress, votes))
 
 
 def _cloned(core: Core) -> Core:
     other = copy.copy(core)
     other.log, other._votes, other._reads, other._effects = core.log[:], set(core._votes), core._reads[:], []
+    if core._incoming is not None:
+        other._incoming = (core._incoming[0], core._incoming[1][:])
     other._progress = {name: replace(progress, flying=progress.flying[:]) for name, progress in core._progress.items()}
     return other
 
--- a/chutepin/lab/fleet.py
+++ b/chutepin/lab/fleet.py
@@ -86,6 +86,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._began = 0.0
         self.extra = ""  # further lines of every block
+        self.voters: list[str] = []  # of a log in common; none: there is no such log
         self.late: list[str] = []  # those that are started by a `restart` of the schedule only
 
     @property
@@ -136,7 +137,17 @@
         return (f'cluster {{\n name "fleet"\n region "r1"\n zone "{self.schedule.zone(process.name)}"\n'
                 f' listen "{process.address}"\n'
                 f' seeds {" ".join(f"{chr(34)}{seed}={self.processes[seed].address}{chr(34)}" for seed in seeds)}\n'
-                f' reach {reach}\n{self.extra}}}\n')
+                f' reach {reach}\n{self.extra}}}\n' + self._agree(process))
+
+    def _agree(self, process: Process) -> str:
+        if not self.voters:
+            return ""
+        return (f'store {{ directory "{self.store(process)}"; segment (KiB)512; max (MiB)16; }}\n'
+                f'agree {{ voters {" ".join(f"{chr(34)}{name}{chr(34)}" for name in self.voters)}; log (KiB)64; }}\n')
+
+    def store(self, process: Process) -> Path:
+        """Where a process keeps what must outlive it."""
+        return self._directory / f"{process.label}.store"
 
     async def _start(self, stack: AsyncExitStack, process: Process) -> None:
         await process.world.start(stack, "--setup", str(self.setup(process)))
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -77,13 +77,14 @@
         return None
 
 
-def shares(limit: int, amqp: bool, store: bool, ops: bool = False, cluster: bool = False) -> Ledger:
+def shares(limit: int, amqp: bool, store: bool, ops: bool = False, cluster: bool = False, agree: bool = False
+           ) -> Ledger:
     """The descriptors shared out: half for the front at most, two fifths for records, as after a
     reload old and new connections stand side by side; what must reconnect has its own."""
     return Ledger(limit, {
         "front": (0, max(8, limit // 2)), "records": (max(2, limit // 32), max(8, 2 * limit // 5)),
         "executor": (2, 2), "control": (1, 1), "amqp": (2 * amqp, 2), "store": (8 * store, 40), "files": (2, 8),
-        "ops": (4 * ops, max(4, min(16, limit // 32)) * ops), "cluster": (8 * cluster, 24 * cluster)},
+        "ops": (4 * ops, max(4, min(16, limit // 32)) * ops), "cluster": (8 * cluster, 24 * cluster + 72 * agree)},
         descriptors() or 0)
 
 
@@ -121,7 +122,7 @@
         # Descriptors that the process may really have, whatever the configuration allows.
         self.sockets = sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.ledger = shares(sockets, amqp is not None, self.setup.store is not None, config.ops is not None,
-                             self.setup.cluster is not None)
+                             self.setup.cluster is not None, self.setup.agree is not None)
         self.executor = ExecutorLink(config.executor, session, self.counters, self.log)
         self.records = RecordsService(config.records, self.clock, self.counters, self.log,
                                       max(4, sockets // 5), self.ledger)
@@ -139,8 +140,9 @@
         if config.ops is not None:  # loaded only where operators call
             from .admin import Calls, Listener
             more = {name: call for part in self.subsystems for name, call in part.calls().items()}
-            self.listener = Listener(Calls(self.lifecycle, self.broker.figures, more), self.ledger, self.counters,
-                                     self.log)
+            orders = {name: order for part in self.subsystems for name, order in part.orders().items()}
+            calls = Calls(self.lifecycle, self.broker.figures, more, orders)
+            self.listener = Listener(calls, self.ledger, self.counters, self.log)
         self.consumer: Consumer | None = None
         if amqp is not None:
             # Loaded only where an operator turns the front on: the platform's nodes need no codec for it.
--- a/chutepin/store/store.py
+++ b/chutepin/store/store.py
@@ -103,6 +103,13 @@
             raise StoreBusy(f"{self._engine.files.label}: {self._engine.book.queued} bytes wait for the disk")
         self._touch()
 
+    def withdraw(self, key: bytes) -> None:
+        """As `delete`, but raises StoreBusy where that would wait."""
+        if not self._engine.delete(key):
+            self._wake()
+            raise StoreBusy(f"{self._engine.files.label}: {self._engine.book.queued} bytes wait for the disk")
+        self._touch()
+
     def delete(self, key: bytes) -> None:
         """Forget a key; nothing happens if it is not there. As `put`, but never StoreFull for what is remembered."""
         if not self._engine.delete(key):
--- a/chutepin/subsystem.py
+++ b/chutepin/subsystem.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
@@ -15,6 +15,9 @@
     from .store import Store
 
 
+Order = Callable[[list[str]], Awaitable[str]]
+
+
 class Subsystem(Protocol):
     """What a node asks of each."""
 
@@ -33,6 +36,9 @@
     def calls(self) -> dict[str, Callable[[], str]]:
         """What operators may call, each with its whole answer."""
 
+    def orders(self) -> dict[str, Order]:
+        """What operators may call with words behind it, and what may take a moment."""
+
     def figures(self) -> dict[str, int]:
         """Counts for operators, their names with the subsystem's."""
 
@@ -52,5 +58,9 @@
     found: list[Subsystem] = []
     if setup.cluster is not None:
         from .cluster.subsystem import Cluster
-        found.append(Cluster(setup.cluster, config.name, config.seed, ledger, counters, log, store))
+        cluster = Cluster(setup.cluster, config.name, config.seed, ledger, counters, log, store)
+        found.append(cluster)
+        if setup.agree is not None and store is not None:
+            from .agree.subsystem import Agreement
+            found.append(Agreement(setup.agree, config.name, config.seed, cluster, store, ledger, counters, log))
     return found
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -72,7 +72,8 @@
 
 @pytest.mark.parametrize(("scope", "states"), [
     (Scope(elections=1, proposals=2), 500), (Scope(elections=1, proposals=1, crashes=1), 1000),
-    (Scope(elections=1, proposals=0, beats=1, twice=1), 500), (Scope(elections=2, proposals=0), 15_000)])
+    (Scope(elections=1, proposals=0, beats=1, twice=1), 500),
+    (Scope(elections=1, proposals=0, snapshots=1, crashes=1), 300), (Scope(elections=2, proposals=0), 15_000)])
 def test_no_interleaving_of_a_small_scope_breaks_an_invariant(scope: Scope, states: int) -> None:
     found = explore(scope)
     assert found.whole and not found.broken and found.states > states, found
@@ -92,7 +93,10 @@
     Voters(THREE.voters, ("v4",)), Voters((*THREE.voters, "v4")), Voters(("v2", "v3", "v4"))))
 
 
-@pytest.mark.parametrize("scope", [WIDE, CHANGING])
+FORGETTING = Scope(elections=8, proposals=6, beats=40, crashes=3, twice=3, snapshots=6)
+
+
+@pytest.mark.parametrize("scope", [WIDE, CHANGING, FORGETTING])
 def test_long_walks_with_crashes_and_changes_of_voters_break_nothing(scope: Scope) -> None:
     walks = [walk(scope, seed, 300) for seed in range(300)]
     assert not [walked.broken for walked in walks if walked.broken]
