--- a/chutepin/admin/calls.py
+++ b/chutepin/admin/calls.py
@@ -36,6 +36,7 @@
             "ready": self._ready, "show-stat": self._show_stat, "drain": self._drain, "resume": self._resume}
         self.table |= {name: lambda why=why: failure(why) for name, why in OFF.items()} | dict(more or {})
         self._orders = orders or {}
+        self._on = frozenset(more or ())
 
     def answer(self, line: str) -> str | Awaitable[str]:
         """The whole answer to a line, or what it is to be waited for. Every call in every state has one."""
@@ -45,6 +46,8 @@
         call = self.table.get(name)
         if call is None:
             return failure(f"no such call; there are {', '.join(self.table)}")
+        if name in OFF and name not in self._on:
+            return failure(OFF[name])
         if rest:
             return failure(f"{name} takes no arguments")
         return call()
--- a/chutepin/agree/core.py
+++ b/chutepin/agree/core.py
@@ -53,6 +53,7 @@
     in_flight: int = 256 * 1024  # bytes of entries that a follower has not acknowledged
     piece: int = 64 * 1024  # bytes of entries, or of a snapshot, in one message
     log: int = 4 * 2**20  # bytes of entries for which a leader waits for those behind before it lets go of them
+    kept: int = 256 * 1024  # bytes of entries behind a snapshot that are kept in any case, for those a little behind
 
 
 @dataclass(slots=True)
@@ -93,6 +94,7 @@
     round: int = 0  # of heartbeats that it has answered
     piece: tuple[int, int] = (0, 0)  # index and bytes of the snapshot that it has
     sent: bool = False  # a piece is on its way
+    told: int = 0  # how far all is agreed, as it was last told
 
 
 def _cost(entry: Entry) -> int:
@@ -119,6 +121,8 @@
         self.log: list[Entry] = list(durable.entries)  # behind `base`
         self.base, self.base_term, self.snapshot = durable.base, durable.base_term, durable.snapshot
         self.size = sum(map(_cost, self.log))  # bytes of the log
+        self.since = 0  # bytes of what was applied since the last snapshot
+        self._offered: Snapshot | None = None  # the one that followers are being sent
         self.role, self.leader = Role.FOLLOWER, ""
         self.commit = self.applied = self.snapshot.upto if self.snapshot is not None else 0
         self._incoming: tuple[tuple[int, int, int, int], bytearray] | None = None  # a snapshot that comes in pieces
@@ -380,8 +384,8 @@
 
     def spread(self) -> None:
         """Tell followers that lack nothing how far all is agreed, lest they learn it with the next heartbeat only."""
-        for name, progress in self._progress.items():
-            if name != self.name and self.role is Role.LEADER and progress.match == self.last:
+        for name, progress in self._progress.items() if self.role is Role.LEADER else ():
+            if name != self.name and progress.told < self.commit and progress.match == self.last:
                 self._replicate(name, beat=True)
 
     def _beat(self) -> None:
@@ -404,7 +408,7 @@
             entries, size = part or ((), 0)
             self._say(name, Append(self.term, progress.next - 1, self.term_at(progress.next - 1), entries,
                                    self.commit, self._round))
-            beat = False
+            progress.told, beat = self.commit, False
             if entries:
                 progress.flying.append((entries[-1].index, size))
                 if not progress.probing:
@@ -487,7 +491,9 @@
         if index <= self.commit:
             return
         self.commit = index
-        self._effects.append(Apply(tuple(self._from(self.applied + 1)[:index - self.applied])))
+        entries = tuple(self._from(self.applied + 1)[:index - self.applied])
+        self.since += sum(map(_cost, entries))
+        self._effects.append(Apply(entries))
         self.applied = index
 
     # --- snapshots ---
@@ -498,11 +504,8 @@
         if self.applied <= (self.snapshot.upto if self.snapshot is not None else 0):
             return
         snapshot = Snapshot(self.applied, self.term_at(self.applied), self._members_at(self.applied), data)
-        base = self.applied
-        if self.role is Role.LEADER and self.size <= self._times.log:
-            base = min([base, *(progress.match for progress in self._progress.values()
-                                if self.base < progress.match and progress.heard > now - self._times.election)])
-        self.snapshot = snapshot
+        base = min(self._kept_from(), self._wanted_from(now))
+        self.snapshot, self.since = snapshot, 0
         base_term = self.term_at(base)
         gone = self.log[:base - self.base]
         self.size -= sum(map(_cost, gone))
@@ -510,18 +513,45 @@
         self.base, self.base_term = base, base_term
         self._effects.append(Persist(self.term, self.vote, 0, (), snapshot, base))
 
+    def _kept_from(self) -> int:
+        """The base that leaves as much of the log as is kept in any case."""
+        base, size = self.applied, sum(map(_cost, self._from(self.applied + 1)))
+        for entry in reversed(self.log[:self.applied - self.base]):
+            size += _cost(entry)
+            if size > self._times.kept:
+                break
+            base = entry.index - 1
+        return base
+
+    def _wanted_from(self, now: float) -> int:
+        """The base that leaves a leader all that followers lack, or will once they have the snapshot that they are
+        being sent; as long as that is not too much."""
+        if self.role is not Role.LEADER or self.size > self._times.log:
+            return self.applied
+        wanted = self.applied
+        for progress in self._progress.values():
+            if progress.heard <= now - self._times.election:
+                continue
+            if progress.match > self.base:
+                wanted = min(wanted, progress.match)
+            elif self._offered is not None and progress.piece[0] == self._offered.upto:
+                wanted = min(wanted, self._offered.upto)
+        return wanted
+
     def _send_piece(self, name: str, progress: Progress, again: bool) -> None:
         """The next part of the snapshot; one at a time, the same again with the next heartbeat."""
         if progress.sent and not again:
             return
         assert self.snapshot is not None, "the log was cut without a snapshot"
-        index, _, _, data = self.snapshot
-        if progress.piece[0] != index:
-            progress.piece = (index, 0)
+        if self._offered is None or self._offered.upto < self.base:  # what stands behind it is no more
+            self._offered = self.snapshot
+        upto, term, members, data = self._offered
+        if progress.piece[0] != upto:
+            progress.piece = (upto, 0)
         offset = progress.piece[1]
         progress.sent = True
-        self._say(name, Piece(self.term, index, self.snapshot.term, self.snapshot.members, len(data), zlib.crc32(data),
-                              offset, data[offset:offset + self._times.piece], self._round))
+        self._say(name, Piece(self.term, upto, term, members, len(data), zlib.crc32(data), offset,
+                              data[offset:offset + self._times.piece], self._round))
 
     def _piece(self, now: float, sender: str, message: Piece) -> None:
         if message.term < self.term:
@@ -554,7 +584,7 @@
         if snapshot.upto <= self.last and self.term_at(snapshot.upto) == snapshot.term:
             self._commit(snapshot.upto)
             return
-        self.snapshot, self.log, self.size = snapshot, [], 0
+        self.snapshot, self.log, self.size, self.since = snapshot, [], 0, 0
         self.base, self.base_term = snapshot.upto, snapshot.term
         self.commit = self.applied = snapshot.upto
         self.members = snapshot.members
--- a/chutepin/agree/facts.py
+++ b/chutepin/agree/facts.py
@@ -12,10 +12,11 @@
 
 
 class Fact(NamedTuple):
-    """A value, and the entry that set it."""
+    """A value, the entry that set it, and how often the name was set in all."""
 
     value: bytes
     at: int
+    times: int
 
 
 def set_fact(name: str, value: bytes) -> bytes:
@@ -38,7 +39,7 @@
         name, value = msgpack.unpackb(data)
         if name not in self.known and len(self.known) >= MAX_NAMES:
             return b"full"
-        self.known[name] = Fact(value, index)
+        self.known[name] = Fact(value, index, self.known[name].times + 1 if name in self.known else 1)
         return b"set"
 
     def snapshot(self) -> bytes:
@@ -47,4 +48,4 @@
 
     def restore(self, version: int, data: bytes) -> None:
         """Take over all facts."""
-        self.known = {name: Fact(value, at) for name, value, at in msgpack.unpackb(data)}
+        self.known = {name: Fact(value, at, times) for name, value, at, times in msgpack.unpackb(data)}
--- a/chutepin/agree/member.py
+++ b/chutepin/agree/member.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from dataclasses import dataclass
@@ -128,8 +129,8 @@
 
     def wake_at(self) -> float:
         """When `tick` is due."""
-        at = min(self.core.wake_at(), self.subscribers.wake_at())
-        if not self.votes:
+        at = min(self.core.wake_at() if self.votes else math.inf, self.subscribers.wake_at())
+        if not self.votes or self._orphaned:
             at = min(at, self.observer.wake_at())
         return min((at, *(min(waiting.by, waiting.next) for waiting in self._proposed.values()),
                     *(min(waiting.by, waiting.next) for waiting in self._reads.values())))
@@ -137,17 +138,26 @@
     @property
     def votes(self) -> bool:
         """It is told everything by the leader itself, as a voter or to become one."""
-        return self.name in self.core.members.everybody
+        return self.name in self.members.everybody
+
+    @property
+    def _orphaned(self) -> bool:
+        """It should hear a leader and does not: it was cut off, or removed without having been told."""
+        return self.core.leader == ""
 
     @property
     def leader(self) -> str:
         """Who leads, as far as is known here; empty for nobody."""
-        return self.core.leader if self.votes else self.observer.leader
+        if self.core.role is Role.LEADER:  # also one that goes, until that is agreed
+            return self.name
+        return (self.core.leader if self.votes else "") or self.observer.leader
 
     @property
     def members(self) -> Voters:
-        """Who takes part, as far as is known here."""
-        return self.core.members if self.votes or not self.observer.members.voters else self.observer.members
+        """Who takes part, as far as is known here. The log's own word is older than that of others where they have
+        told more than it holds."""
+        ahead = self.replica.applied > self.core.last and self.replica.members.voters
+        return self.replica.members if ahead else self.core.members
 
     @property
     def waiting(self) -> int:
@@ -156,11 +166,12 @@
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        if now >= self.core.wake_at():
+        if self.votes and now >= self.core.wake_at():
             self.core.tick(now)
             self._from_core()
-        if not self.votes and now >= self.observer.wake_at():
-            if (pull := self.observer.pull(now, self.replica.applied, self.members.voters)) is not None:
+        if (not self.votes or self._orphaned) and now >= self.observer.wake_at():
+            voters = tuple(name for name in self.members.voters if name != self.name)
+            if (pull := self.observer.pull(now, self.replica.applied, voters)) is not None:
                 self._effects.append(Send(*pull))
         self._feed(now)
         self._again(now)
@@ -189,6 +200,7 @@
                 self._fed(now, sender, word)
             case _:
                 self.core.receive(now, sender, word)
+                self.core.spread()
                 self._from_core()
         self._changed()
 
@@ -410,7 +422,7 @@
         """Tell those that asked what is new."""
         fresh = now if self.core.role is Role.LEADER else self.core.heard_leader if self.votes else self.observer.fresh
         for to, feed in self.subscribers.feeds(now, self.core, self.observer, self.replica.applied, self.leader, fresh,
-                                               0 if self.votes else self.observer.depth, self._state):
+                                               0 if self.votes else self.observer.depth, self._state, self.members):
             self._effects.append(Send(to, feed))
 
     def _state(self) -> Snapshot:
--- a/chutepin/agree/observer.py
+++ b/chutepin/agree/observer.py
@@ -61,8 +61,6 @@
         self.upstream = ""
         self.kept: deque[Entry] = deque()
         self._kept = 0  # bytes
-        self.snapshot: Snapshot | None = None  # for those that ask this one
-        self.members = Voters(())
         self._incoming: tuple[tuple[int, int, int], bytearray] | None = None
         self._at = now  # when to ask
         self._since = now  # when this upstream was chosen, or last had news
@@ -99,10 +97,9 @@
         """Take in news; a snapshot that is whole now. The next question is due at once where there is more."""
         if plain(sender) != plain(self.upstream) or feed.depth >= MAX_DEPTH:
             return None
-        if feed.age >= 0:
+        if 0 <= feed.age < 1000 * SILENT * self._every:
             self._since, self.depth = now, feed.depth + 1
             if now - feed.age / 1000 >= self.fresh:
-                self.members = feed.members
                 self.leader, self.fresh = feed.leader, now - feed.age / 1000
         else:
             self.depth = MAX_DEPTH
@@ -131,8 +128,7 @@
             return None
         self.kept.clear()
         self._kept = 0
-        self.snapshot = Snapshot(feed.upto, feed.last_term, feed.members, bytes(data))
-        return self.snapshot
+        return Snapshot(feed.upto, feed.last_term, feed.members, bytes(data))
 
 
 class Subscribers:
@@ -142,6 +138,7 @@
         """`piece`: bytes in one answer. `every`: seconds of a heartbeat."""
         self._piece, self._hold = piece, HOLD * every
         self._waiting: dict[str, tuple[float, Pull]] = {}  # until when, what
+        self._offered: Snapshot | None = None  # that some are being sent
         self.refused = 0
 
     def wake_at(self) -> float:
@@ -156,7 +153,7 @@
         self._waiting[sender] = (now + self._hold, pull)
 
     def feeds(self, now: float, core: Core, observer: Observer, applied: int, leader: str, fresh: float,
-              depth: int, make: Callable[[], Snapshot]) -> Iterator[tuple[str, Feed]]:
+              depth: int, make: Callable[[], Snapshot], members: Voters) -> Iterator[tuple[str, Feed]]:
         """Answers that are due. `make`: the state of now, for one that lacks more than is kept here."""
         if not self._waiting:
             return
@@ -168,26 +165,28 @@
             if pull.depth < depth < MAX_DEPTH:  # who is nearer to a voter itself: nothing may go round in a circle
                 yield name, Feed((), "", -1, MAX_DEPTH, Voters(()), 0, 0, 0, 0, 0, b"")
                 continue
-            yield name, self._answer(core, observer, pull, applied, leader, age, depth, make)
+            yield name, self._answer(core, observer, pull, applied, leader, age, depth, make, members)
 
     def _answer(self, core: Core, observer: Observer, pull: Pull, applied: int, leader: str, age: int,
-                depth: int, make: Callable[[], Snapshot]) -> Feed:
+                depth: int, make: Callable[[], Snapshot], members: Voters) -> Feed:
         entries, size = list[Entry](), 0
-        mine: Iterator[Entry] = iter(core.log) if core.last >= applied and core.base <= pull.applied \
-            else iter(observer.kept)
+        # What others have told beyond what this member's log knows to be agreed: its own entries there may be others.
+        follows = core.commit < applied
+        mine: Iterator[Entry] = iter(core.log) if not follows and core.base <= pull.applied else iter(observer.kept)
         for entry in mine:
             if pull.applied < entry.index <= applied:
                 if entry.index != pull.applied + len(entries) + 1 or size > self._piece:
                     break
                 entries.append(entry)
                 size += len(entry.data) + 32
-        follows = core.last < applied
-        head = (tuple(entries), leader, age, depth, observer.members if follows else core.members)
+        head = (tuple(entries), leader, age, depth, members)
         if entries or applied <= pull.applied:
             return Feed(*head, 0, 0, 0, 0, 0, b"")
-        snapshot = observer.snapshot if follows else core.snapshot
-        if snapshot is None or snapshot.upto <= pull.applied:
-            snapshot = observer.snapshot = make()
+        snapshot = self._offered
+        if snapshot is None or snapshot.upto <= pull.applied or (
+                snapshot.upto < core.base if not follows else pull.upto != snapshot.upto):
+            newest = core.snapshot if not follows else None
+            snapshot = self._offered = newest if newest is not None and newest.upto > pull.applied else make()
         offset = pull.offset if pull.upto == snapshot.upto else 0
         return Feed(*head, snapshot.upto, snapshot.term, len(snapshot.data),
                     zlib.crc32(snapshot.data), offset, snapshot.data[offset:offset + self._piece])
--- a/chutepin/agree/replica.py
+++ b/chutepin/agree/replica.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import IntEnum
@@ -11,7 +12,7 @@
 
 import msgpack
 
-from .messages import Entry, Kind, Snapshot
+from .messages import Entry, Kind, Snapshot, Voters
 
 FORMAT = 1  # of a snapshot
 REMEMBERED = 2048  # entries for which the id of a proposal is known
@@ -94,6 +95,8 @@
 
     def __init__(self, machine: Machine) -> None:
         self.machine, self.applied = machine, 0
+        self.members = Voters(())  # as the last change of them says that was applied; none: nothing said it yet
+        self.chain = bytes(8)  # a digest of all entries up to `applied`, in their order: equal where they are
         self._known: dict[bytes, _Known] = {}  # the oldest first
         self.doubles = 0  # proposals that came again, and those too old to tell
 
@@ -105,6 +108,10 @@
             if entry.index != self.applied + 1:
                 continue
             self.applied = entry.index
+            self.chain = hashlib.blake2b(self.chain + b"%d %d " % (entry.index, entry.kind) + entry.data,
+                                         digest_size=8).digest()
+            if entry.members is not None:
+                self.members = entry.members
             if entry.kind is Kind.PROPOSAL:
                 proposal = unpack(entry.data)
                 decided.append((proposal.id, self._decide(entry.index, proposal)))
@@ -140,18 +147,18 @@
     def snapshot(self) -> bytes:
         """All of it."""
         known = [[id, known.at, known.agreed, known.answer] for id, known in self._known.items()]
-        return bytes(msgpack.packb([FORMAT, known, self.machine.version, self.machine.snapshot()]))
+        return bytes(msgpack.packb([FORMAT, self.chain, known, self.machine.version, self.machine.snapshot()]))
 
     def restore(self, snapshot: Snapshot) -> bool:
         """Take over a later state; whether it was one. Raises ValueError for a format that this program does not
         know."""
         if snapshot.upto <= self.applied:
             return False
-        form, known, version, state = msgpack.unpackb(snapshot.data)
+        form, chain, known, version, state = msgpack.unpackb(snapshot.data)
         if form != FORMAT or version > self.machine.version:
             raise ValueError(f"a state of format {form}, version {version}; this program knows {FORMAT}, "
                              f"{self.machine.version}")
         self.machine.restore(version, state)
         self._known = {id: _Known(at, agreed, answer) for id, at, agreed, answer in known}
-        self.applied = snapshot.upto
+        self.applied, self.chain, self.members = snapshot.upto, chain, snapshot.members
         return True
--- a/chutepin/agree/subsystem.py
+++ b/chutepin/agree/subsystem.py
@@ -35,11 +35,12 @@
 class Agreement:
     """This node's part in the log in common (`subsystem.Subsystem`)."""
 
-    def __init__(self, setup: AgreeSetup, name: str, seed: int, links: Links, store: Store, ledger: Ledger,
-                 counters: Counters, log: Log) -> None:
+    def __init__(self, setup: AgreeSetup, name: str, links: Links, store: Store, ledger: Ledger, counters: Counters,
+                 log: Log) -> None:
         self._setup, self._name, self._links, self._store = setup, name, links, store
-        self._counters, self._log, self._rng = counters, log, random.Random(f"agree {name} {seed}")
-        self._times = Times(setup.election, setup.heartbeat, log=4 * setup.log)
+        # Not the configuration's seed: ids of proposals must not come again after a restart.
+        self._counters, self._log, self._rng = counters, log, random.Random(random.SystemRandom().getrandbits(64))
+        self._times = Times(setup.election, setup.heartbeat, log=4 * setup.log, kept=setup.log // 2)
         self.machine = Facts()
         self._identity = self._known()
         self._member: Member | None = None
@@ -211,7 +212,7 @@
             self._pump()
 
     def _collect(self, member: Member) -> list[Effect]:
-        if member.core.size > self._setup.log:
+        if member.core.since > self._setup.log:
             member.compact(now())
         self._queue += member.take()
         return self._queue
@@ -329,6 +330,7 @@
         lines = [f"identity {member.name}", f"standing {self._identity.standing.value}",
                  f"role {core.role.name.lower() if member.votes else 'observer'}", f"term {core.term}",
                  f"leader {plain(member.leader) or '-'}", f"commit {core.commit}", f"applied {member.replica.applied}",
+                 f"chain {member.replica.chain.hex()}",
                  f"log-bytes {core.size}", f"snapshot {core.snapshot.upto if core.snapshot is not None else 0}",
                  f"follows {plain(member.observer.upstream) or '-'}" if not member.votes else "follows -"]
         lines += [f"{'voter' if name in member.members.voters else 'learner'} {name} lag "
@@ -359,10 +361,11 @@
 
     async def _get(self, words: list[str]) -> str:
         read = await self._ticket(lambda member: member.read(now(), now() + CALL_BY))
-        if read.state is not State.AGREED:
+        if read.state is not State.AGREED or self._member is None:
             return f"FAILURE {read.why}; again in {read.again:.1f} s\n"
         fact = self.machine.known.get(words[0])
-        return f"SUCCESS upto {read.at} " + (f"set-at {fact.at} {fact.value.decode()}" if fact else "not set") + "\n"
+        shown = f"set-at {fact.at} times {fact.times} {fact.value.decode()}" if fact is not None else "not set"
+        return f"SUCCESS upto {self._member.replica.applied} {shown}\n"
 
     async def _add(self, words: list[str]) -> str:
         """Let a node vote that has caught up as a learner; begin with making it one."""
@@ -384,6 +387,10 @@
         if member is None:
             return f"FAILURE takes no part: {self._why}\n"
         members = member.core.members
+        if words[0] in (member.name, plain(member.name)) and member.core.role is Role.LEADER:
+            to = next(iter(member.core.furthest()), "")
+            why = self._do(lambda: member.hand_over(now(), to))
+            return f"FAILURE {why or f'it leads and hands over to {plain(to)}; call again there'}\n"
         new = Voters(*(tuple(other for other in names if words[0] not in (other, plain(other))) for names in members))
         if new == members:
             return f"FAILURE {words[0]} takes no part\n"
--- a/chutepin/lab/faults.py
+++ b/chutepin/lab/faults.py
@@ -19,6 +19,7 @@
     | what | members | value |
     | --- | --- | --- |
     | `crash`, `restart`, `leave` | whom | |
+    | `wipe` | whom | a crash, and its store is lost |
     | `stop`, `wake` | whom | |
     | `slow` | whom | share of the time that it gets no CPU (0: well again) |
     | `loss` | of all links | share of datagrams lost |
@@ -38,8 +39,8 @@
     groups: tuple[tuple[str, ...], ...] = ()
 
 
-KINDS = frozenset({"crash", "restart", "leave", "stop", "wake", "slow", "loss", "delay", "duplicate", "cut", "mend",
-                   "split", "heal", "tear", "clock"})
+KINDS = frozenset({"crash", "wipe", "restart", "leave", "stop", "wake", "slow", "loss", "delay", "duplicate", "cut",
+                   "mend", "split", "heal", "tear", "clock"})
 
 
 @dataclass(frozen=True, slots=True)
--- a/chutepin/lab/history.py
+++ b/chutepin/lab/history.py
@@ -84,7 +84,7 @@
         """Something is done."""
         some = set(fault.members)
         match fault.what:
-            case "crash" | "leave":
+            case "crash" | "leave" | "wipe":
                 self.up -= some
                 self.stopped -= some
                 for name in some:
--- a/chutepin/subsystem.py
+++ b/chutepin/subsystem.py
@@ -62,5 +62,5 @@
         found.append(cluster)
         if setup.agree is not None and store is not None:
             from .agree.subsystem import Agreement
-            found.append(Agreement(setup.agree, config.name, config.seed, cluster, store, ledger, counters, log))
+            found.append(Agreement(setup.agree, config.name, cluster, store, ledger, counters, log))
     return found
--- /dev/null
+++ b/tests/agree_mutants.py
@@ -0,0 +1,101 @@
+"""Deliberate errors in the log in common. Each must be found by a named claim; the product has no such switches."""
+
+from __future__ import annotations
+
+import random
+
+from chutepin.agree import Core, Durable, Entry, Readable, Role, Times, Voters
+from chutepin.agree.identity import Identity, Standing
+from chutepin.agree.member import Member
+from chutepin.agree.messages import Ask
+from chutepin.agree.replica import Machine, Replica, new_id
+from chutepin.lab.quorum import Parts
+
+
+class NoPreVote(Core):
+    """Whoever misses the leader raises the term at once, and everybody listens."""
+
+    def _campaign(self, now: float, role: Role, handed: bool) -> None:
+        super()._campaign(now, Role.CANDIDATE, handed)
+
+    def _ignores(self, now: float, sender: str, ask: Ask) -> bool:
+        return False
+
+
+class ReadsAtOnce(Core):
+    """A leader answers reads without asking whether it still leads."""
+
+    def read(self, now: float, id: int) -> None:
+        self._must_lead()
+        self._effects.append(Readable(id, self.commit))
+
+
+class SnapshotSkips(Member):
+    """The state that is kept is one entry old."""
+
+    before = b""
+
+    def _apply(self, now: float, entries: tuple[Entry, ...]) -> None:
+        self.before = self.replica.snapshot()
+        super()._apply(now, entries)
+
+    def compact(self, now: float) -> None:
+        if self.replica.applied == self.core.applied and self.before:
+            self.core.compact(now, self.before)
+            self._from_core()
+
+
+class _Forgetful(Replica):
+    def snapshot(self) -> bytes:
+        known, self._known = self._known, {}
+        data = super().snapshot()
+        self._known = known
+        return data
+
+
+class SessionsForgotten(Member):
+    """Which proposals were agreed is no part of the state that is kept."""
+
+    def __init__(self, name: str, first: Voters, durable: Durable, machine: Machine, now: float, rng: random.Random,
+                 times: Times) -> None:
+        super().__init__(name, first, durable, machine, now, rng, times)
+        self.replica = _Forgetful(machine)
+
+
+class IdsRepeat(Member):
+    """Chance begins anew with each process."""
+
+    def new_id(self) -> bytes:
+        return new_id(self.replica.applied // 8 * 8, 7)
+
+
+class LostDiskVotes(Identity):
+    """A voter needs nobody to have met its store."""
+
+    def __init__(self, name: str, voters: tuple[str, ...], born: str, standing: Standing | None,
+                 met: dict[str, str]) -> None:
+        super().__init__(name, voters, born, standing, met)
+        if name in voters:
+            self.standing = Standing.SETTLED
+
+
+class TellsUnagreed(Member):
+    """What it holds is told to those that follow, agreed or not."""
+
+    def _feed(self, now: float) -> None:
+        applied, self.replica.applied = self.replica.applied, max(self.replica.applied, self.core.last)
+        super()._feed(now)
+        self.replica.applied = applied
+
+
+# A planted error, the schedule that brings it out, and the claim that must find it.
+PLANTED: dict[str, tuple[Parts, str, str]] = {
+    "acknowledged before the sync": (Parts(acknowledges_early=True), "blackout", "one_state_at_an_index"),
+    "no pre-vote": (Parts(core=NoPreVote), "deaf", "a_leader_stands"),
+    "reads without a check": (Parts(core=ReadsAtOnce), "lone", "order_is_that_of_time"),
+    "a snapshot that skips one": (Parts(member=SnapshotSkips), "power", "one_state_at_an_index"),
+    "sessions forgotten": (Parts(member=SessionsForgotten), "lossy", "every_proposal_counts_once"),
+    "ids that repeat": (Parts(member=IdsRepeat), "calm", "every_entry_is_one_proposal"),
+    "a lost disk votes": (Parts(identity=LostDiskVotes), "wiped", "one_state_at_an_index"),
+    "what is not agreed is told": (Parts(member=TellsUnagreed), "parted", "one_state_at_an_index"),
+}
