Log in common on real processes: askers, record, commands; a removed leader hands over

A leader that had removed itself kept no times any more and went on leading, found by the claim that a leader stands; it steps down now, and operators' removal hands over first.

--- a/chutepin/agree/member.py
+++ b/chutepin/agree/member.py
@@ -129,7 +129,7 @@
 
     def wake_at(self) -> float:
         """When `tick` is due."""
-        at = min(self.core.wake_at() if self.votes else math.inf, self.subscribers.wake_at())
+        at = min(self.core.wake_at() if self._active else math.inf, self.subscribers.wake_at())
         if not self.votes or self._orphaned:
             at = min(at, self.observer.wake_at())
         return min((at, *(min(waiting.by, waiting.next) for waiting in self._proposed.values()),
@@ -140,6 +140,11 @@
         """It is told everything by the leader itself, as a voter or to become one."""
         return self.name in self.members.everybody
 
+    @property
+    def _active(self) -> bool:
+        """Its core has times to keep; also a leader's that goes, until that is agreed."""
+        return self.votes or self.core.role is Role.LEADER
+
     @property
     def _orphaned(self) -> bool:
         """It should hear a leader and does not: it was cut off, or removed without having been told."""
@@ -166,7 +171,7 @@
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        if self.votes and now >= self.core.wake_at():
+        if self._active and now >= self.core.wake_at():
             self.core.tick(now)
             self._from_core()
         if (not self.votes or self._orphaned) and now >= self.observer.wake_at():
--- a/chutepin/cli/__init__.py
+++ b/chutepin/cli/__init__.py
@@ -11,7 +11,7 @@
 
 # A command to its module here.
 COMMANDS = {"node": "node", "demo": "demo", "store": "store", "admission": "admission", "cluster": "cluster",
-            "lab": "lab"}
+            "agree": "agree", "lab": "lab"}
 
 
 class LazyGroup(click.Group):
--- a/chutepin/cli/ask.py
+++ b/chutepin/cli/ask.py
@@ -21,8 +21,25 @@
     exit_code = 2
 
 
+def line(ops: str, call: str) -> str:
+    """The one line of an answer, whatever it says. Raises AskError where there is none."""
+    lines = _answer(ops, call)
+    if not lines:
+        raise AskError(f"{ops}: no answer")
+    return lines[0]
+
+
 def ask(ops: str, call: str) -> tuple[str, list[str]]:
     """What stands behind SUCCESS, and the lines up to EOT. Raises AskError."""
+    lines = _answer(ops, call)
+    if not lines or not lines[0].startswith("SUCCESS"):
+        raise AskError(f"{ops}: {lines[0] if lines else 'no answer'}")
+    if lines[-1] != "EOT":
+        raise AskError(f"{ops}: the answer broke off")
+    return lines[0][len("SUCCESS"):].strip(), lines[1:-1]
+
+
+def _answer(ops: str, call: str) -> list[str]:
     host, _, port = ops.rpartition(":")
     if not host or not port.isdigit():
         raise AskError(f"--ops: {ops} is not of the form host:port")
@@ -38,12 +55,7 @@
                 data += piece
     except OSError as error:
         raise AskError(f"{ops}: {error.strerror or error}") from None
-    lines = data.decode(errors="replace").splitlines()
-    if not lines or not lines[0].startswith("SUCCESS"):
-        raise AskError(f"{ops}: {lines[0] if lines else 'no answer'}")
-    if lines[-1] != "EOT":
-        raise AskError(f"{ops}: the answer broke off")
-    return lines[0][len("SUCCESS"):].strip(), lines[1:-1]
+    return data.decode(errors="replace").splitlines()
 
 
 def rows(lines: list[str], fields: Mapping[str, Callable[[str], Any]]) -> list[dict[str, Any]]:
--- a/chutepin/lab/fleet.py
+++ b/chutepin/lab/fleet.py
@@ -9,6 +9,7 @@
 import contextlib
 import os
 import random
+import shutil
 import signal
 import struct
 import tempfile
@@ -233,6 +234,11 @@
                 process.signal(signal.SIGKILL)
                 assert process.world.process is not None
                 await process.world.process.wait()
+            case "wipe":
+                process.signal(signal.SIGKILL)
+                assert process.world.process is not None
+                await process.world.process.wait()
+                shutil.rmtree(self.store(process))
             case "leave":
                 process.signal(signal.SIGTERM)
             case "stop":
--- a/chutepin/lab/quorum.py
+++ b/chutepin/lab/quorum.py
@@ -418,7 +418,10 @@
             if len(new.voters) < 3:
                 continue
             try:
-                member.change(self.now, new)
+                if member.name not in new.voters:  # one that leads hands over first
+                    member.hand_over(self.now, next(iter(member.core.furthest())))
+                else:
+                    member.change(self.now, new)
             except RefusedError:
                 continue
             self.record.troubles.append(self.now)
--- /dev/null
+++ b/tests/test_assembly.py
@@ -0,0 +1,223 @@
+"""The log in common of several real processes, with faults between them. What is asserted was seen from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import pytest
+
+from chutepin.admission import Ledger
+from chutepin.agree.subsystem import Agreement
+from chutepin.config import ConfigError
+from chutepin.config.agree import AgreeSetup
+from chutepin.lab.assembly import Assembly, play
+from chutepin.lab.claims import broken
+from chutepin.lab.faults import Fault, Schedule, split
+from chutepin.ops import Clock, Counters, Log
+from chutepin.store import Store
+
+from .helper import ROOT
+from .powercut import SimFiles
+
+FIVE = [f"n{number}" for number in range(1, 6)]
+EVER = 40.0  # seconds in which anything that must come has come
+
+
+def killed(at: float, lasts: float, *names: str) -> tuple[Fault, Fault]:
+    return Fault(at, "crash", names), Fault(at + lasts, "restart", names)
+
+
+SCHEDULES = {
+    "kills of one after the other, of a majority, of all": Schedule(5, 40.0, (
+        *killed(1, 1, "n1"), *killed(5, 1, "n2"), *killed(9, 1, "n3"), *killed(13, 2, "n1", "n2"),
+        *killed(18, 1, *FIVE))),
+    "stops of each voter, and of all": Schedule(5, 40.0, tuple(
+        fault for at, names in ((1, ("n1",)), (6, ("n2",)), (11, ("n3",)), (16, ("n1", "n2", "n3")))
+        for fault in (Fault(at, "stop", names), Fault(at + 3.0, "wake", names)))),
+    "partitions with each voter alone, one-sided cuts": Schedule(5, 48.0, (
+        split(1, (["n1"], FIVE[1:])), Fault(5, "heal"), split(7, (["n2", "n4"], ["n1", "n3", "n5"])), Fault(11, "heal"),
+        split(13, (["n3"], ["n1"], ["n2", "n4", "n5"])), Fault(17, "heal"), Fault(19, "cut", ("n1", *FIVE[1:])),
+        Fault(23, "heal"), *(Fault(25, "cut", (name, "n2")) for name in FIVE if name != "n2"), Fault(30, "heal"))),
+    "broken connections, lost datagrams": Schedule(5, 36.0, (
+        Fault(1, "tear", value=0.5), Fault(1, "loss", value=0.2), *killed(5, 1, "n1"), *killed(10, 1, "n2"),
+        Fault(18, "tear"), Fault(18, "loss"))),
+}
+
+
+@pytest.mark.parametrize("name", SCHEDULES)
+def test_every_claim_holds_of_real_processes(name: str) -> None:
+    record = asyncio.run(play(SCHEDULES[name], 1))
+    assert broken(record) == {}
+    assert len(record.agreed()) > 60 and len(record.reads()) > 20 and len(record.showed) > 300
+
+
+async def until(holds: Callable[[], Awaitable[object]]) -> None:
+    """Wait until what is asked from outside is as it must be."""
+    by = time.monotonic() + EVER
+    while not await holds():
+        assert time.monotonic() < by, "it never came to hold"
+        await asyncio.sleep(0.1)
+
+
+async def command(ops: int, *words: str) -> tuple[int, str]:
+    """`agree …` as an operator calls it: exit code and output."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "chutepin", "agree", *words, "--ops", f"127.0.0.1:{ops}", cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+    output, _ = await process.communicate()
+    return process.returncode or 0, output.decode()
+
+
+def test_operators_change_voters_hand_over_and_a_lost_store_comes_back_as_another_voter() -> None:
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            fleet = Assembly(Schedule(5, 1.0), 1)
+            await fleet.open(stack)
+            leader = await fleet.agrees()
+            ops = fleet.processes[leader].ops
+            assert (await command(ops, "set", "k", "before"))[0] == 0
+            other = next(name for name in FIVE[:3] if name != leader)
+            assert (await command(ops, "transfer", other))[0] == 0
+            await until(lambda: one(fleet, leader, "leader", other))
+            ops = fleet.processes[other].ops
+            code, output = await command(ops, "status", "--json")
+            assert code == 0 and json.loads(output)["role"] == "leader"
+            # A voter that has lost its store is not the voter that it was.
+            lost = next(name for name in FIVE[:3] if name not in (leader, other))
+            await fleet._to_process(stack, fleet.processes[lost], Fault(0.0, "wipe", (lost,)))
+            await fleet.restart(stack, lost)
+            await until(lambda: one(fleet, lost, "standing", "lost"))
+            await until(lambda: one(fleet, lost, "role", "observer"))
+            await until(lambda: reads(fleet, lost, "before"))
+            assert (await command(ops, "voters", "remove", lost))[0] == 0
+            for _ in range(2):  # it learns, then it votes
+                await until(lambda: succeeds(ops, "voters", "add", lost))
+            await until(lambda: one(fleet, lost, "role", "follower"))
+            # Three vote again, the renewed one among them: without it there is no majority now.
+            fleet.processes[leader].signal(signal.SIGKILL)
+            await until(lambda: succeeds(ops, "set", "k", "after"))
+            assert (await command(ops, "get", "k"))[1].strip().endswith("after")
+            code, output = await command(ops, "voters", "remove", other)
+            assert code == 2 and "hands over" in output
+            assert (await command(ops, "snapshot"))[0] == 0
+            assert (await command(1, "status"))[0] == 2
+
+    asyncio.run(run())
+
+
+async def one(fleet: Assembly, name: str, field: str, value: str) -> bool:
+    """A process shows this."""
+    return (await fleet.shown(name)).get(field) == value
+
+
+async def reads(fleet: Assembly, name: str, value: str) -> bool:
+    """A process shows this under k."""
+    return (await fleet.processes[name].ask("agree-get k"))[0].endswith(f" {value}")
+
+
+async def succeeds(ops: int, *words: str) -> bool:
+    """The command's exit code is 0."""
+    return (await command(ops, *words))[0] == 0
+
+
+def test_without_a_majority_askers_are_told_at_once_or_in_time_and_served_again_after() -> None:
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            fleet = Assembly(Schedule(3, 1.0), 1)
+            await fleet.open(stack)
+            leader = await fleet.agrees()
+            others = [name for name in FIVE[:3] if name != leader]
+            for name in others:
+                fleet.processes[name].signal(signal.SIGSTOP)
+            await until(lambda: one(fleet, leader, "leader", "-"))  # it has stepped down
+            begun = time.monotonic()
+            told = (await fleet.processes[leader].ask("agree-set k v"))[0]
+            assert told.startswith("FAILURE refused") and "no leader; again in 1.0 s" in told
+            assert time.monotonic() - begun < 1.0
+            for name in others:
+                fleet.processes[name].signal(signal.SIGCONT)
+            await fleet.agrees()
+            assert (await fleet.processes[leader].ask("agree-set k v"))[0].startswith("SUCCESS agreed")
+
+    asyncio.run(run())
+
+
+class Alone:
+    """The cluster of one node."""
+
+    cluster = "fleet"
+
+    def address(self, name: str) -> str | None:
+        return None
+
+    def alive(self) -> list[str]:
+        return ["n1"]
+
+    def takes(self, preface: bytes, handler: object) -> None:
+        pass
+
+
+def agreement(store: Store, name: str = "n1") -> Agreement:
+    log = Log(Clock())
+    return Agreement(AgreeSetup(("n1",)), name, Alone(), store, Ledger(64, {"cluster": (0, 8)}), Counters(), log)
+
+
+def test_a_failed_sync_ends_its_part_and_says_so_and_a_restart_has_what_was_agreed() -> None:
+    async def run() -> None:
+        files = SimFiles()
+        store = Store.open("", files=files, segment_bytes=2**16, max_bytes=2**20)
+        part = agreement(store)
+        part.start()
+        task = asyncio.create_task(part.run())
+        order = part.orders()["agree-set"]
+        await until(lambda: agreed(order, ["k", "v1"]))
+        files.fail = lambda operation, name: OSError(5, "I/O error") if operation == "sync" else None
+        told = await order(["k", "v2"])
+        assert told.startswith("FAILURE unknown")
+        assert "I/O error" in part.calls()["agree"]() and part.calls()["agree"]().startswith("FAILURE takes no part")
+        assert (await order(["k", "v3"])).startswith("FAILURE refused")
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        again = Store.open("", files=files.after("none"), segment_bytes=2**16, max_bytes=2**20)
+        part = agreement(again)
+        part.start()
+        task = asyncio.create_task(part.run())
+        await until(lambda: agreed(part.orders()["agree-set"], ["other", "x"]))
+        assert (await part.orders()["agree-get"](["k"])).endswith(" v1\n")
+        with pytest.raises(ConfigError, match="the log in it is that of n1"):
+            agreement(again, "n2")
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        again.close()
+
+    asyncio.run(run())
+
+
+async def agreed(order: Callable[[list[str]], Awaitable[str]], words: list[str]) -> bool:
+    """It was agreed."""
+    return (await order(words)).startswith("SUCCESS agreed")
+
+
+def test_the_agree_block_is_checked(tmp_path: Path) -> None:
+    from chutepin.config import parse_setup
+    cluster = 'cluster { name "f"; region "r"; zone "z"; listen "127.0.0.1:7301"; }\n'
+    store = f'store {{ directory "{tmp_path}"; }}\n'
+    setup = parse_setup(cluster + store + 'agree { voters "n1" "n2" "n3"; election (ms)500; heartbeat (ms)100; }')
+    assert setup.agree == AgreeSetup(("n1", "n2", "n3"), 0.5, 0.1)
+    for text, why in (
+            (store + 'agree { voters "n1"; }', "agree: needs the block cluster as well"),
+            (cluster + 'agree { voters "n1"; }', "agree: needs the block store as well"),
+            (cluster + store + "agree { election (s)1; }", "agree.voters: missing"),
+            (cluster + store + 'agree { voters "n1" "n2"; }', "agree.voters: 1, 3, 5 or 7 members"),
+            (cluster + store + 'agree { voters "n1" "n1" "n2"; }', "agree.voters: a member stands there twice"),
+            (cluster + store + 'agree { voters "n1"; election (ms)300; }', "agree.heartbeat: more than a third"),
+            (cluster + store + 'agree { voters "n~1"; }', "agree.voters: not a member's name")):
+        with pytest.raises(ConfigError, match=why):
+            parse_setup(text)
