Offline recovery of one voter, regions of the rig, takes-back test; measurement

benchmarks/agree.py measures seeds, planted errors, flapping, observers, an observer behind, rate beside a bare loop, failover, transfer, rest, and a campaign of real fleets.

--- /dev/null
+++ b/benchmarks/agree.py
@@ -0,0 +1,357 @@
+"""Measures the log in common: `python -O -m benchmarks.agree [PART …] [--charts DIR]`.
+
+In the simulator, over the cores: `seeds` (claims over drawn schedules), `planted` (seeds that a planted error needs),
+`flapping`, `observers`, `behind`. On real processes of this machine: `rate` (beside a bare loop of writes and syncs),
+`failover`, `transfer`, `rest`, `campaign` (fleets side by side under drawn faults; long). Each is bounded."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import math
+import os
+import random
+import signal
+import statistics
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from chutepin.lab import charts
+from chutepin.lab.assembly import Assembly, play
+from chutepin.lab.claims import broken
+from chutepin.lab.faults import Fault, Schedule, draw
+from chutepin.lab.quorum import TIMES, Simulator
+
+Row = dict[str, Any]
+SEEDS = 2000
+KILLS = 20
+FLEETS, LASTS = 4, 480.0  # of the campaign: side by side, seconds each
+
+
+def over_cores(work: Callable[[Any], Row], jobs: Iterable[Any]) -> list[Row]:
+    """All jobs, one process for each core."""
+    with ProcessPoolExecutor() as pool:
+        return list(pool.map(work, jobs, chunksize=4))
+
+
+def quantile(values: list[float], part: float) -> float:
+    """The value below which this part lies."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, math.ceil(part * len(ordered)) - 1)] if ordered else math.nan
+
+
+def figures(values: list[float]) -> Row:
+    """In milliseconds."""
+    return {"runs": len(values), "median_ms": round(1000 * statistics.median(values), 1),
+            "p99_ms": round(1000 * quantile(values, 0.99), 1), "longest_ms": round(1000 * max(values), 1)}
+
+
+# --- the simulator ---
+
+def _seed(seed: int) -> Row:
+    schedule = draw(seed, (5, 7, 4)[seed % 3], 60.0)
+    record = Simulator(schedule, seed, voters=5 if seed % 3 == 1 else 3, wire=seed % 4 == 0,
+                       changes=4.0 * (seed % 2)).run()
+    return {"seed": seed, "agreed": len(record.agreed()), "reads": len(record.reads()), "faults": len(schedule.faults),
+            "unknown": sum(asked.outcome == "unknown" for asked in record.asked), "broken": sorted(broken(record))}
+
+
+def seeds() -> list[Row]:
+    """Drawn schedules of 4, 5 and 7 members, changes of voters in half of them."""
+    rows = over_cores(_seed, range(SEEDS))
+    sums = {name: sum(row[name] for row in rows) for name in ("agreed", "reads", "faults", "unknown")}
+    return [{"seeds": len(rows), **sums, "broken": dict(Counter(name for row in rows for name in row["broken"])),
+             "which": [row["seed"] for row in rows if row["broken"]][:20]}]
+
+
+def _planted(name: str) -> Row:
+    from tests.agree_mutants import PLANTED
+    from tests.test_quorum import seeds_needed
+    parts, schedule, claim = PLANTED[name]
+    needed = seeds_needed(parts, schedule, claim, 40)
+    return {"planted": name, "schedule": schedule, "claim": claim, "seeds": 1 + needed}
+
+
+def planted() -> list[Row]:
+    """How many seeds each planted error needs."""
+    from tests.agree_mutants import PLANTED
+    return over_cores(_planted, PLANTED)
+
+
+def _flapping(seed: int) -> Row:
+    rng = random.Random(seed)
+    names = [f"n{number}" for number in range(1, 6)]
+    one, other = rng.sample(names, 2)
+    faults = tuple(Fault(5.0 + 2 * number, ("cut", "mend")[number % 2], (one, other)) for number in range(300))
+    record = Simulator(Schedule(5, 620.0, faults), seed, voters=5, every=0.5).run()
+    terms = {showed.term for showed in record.showed if showed.role == "leader" and showed.at > 5.0}
+    return {"elections": len(terms) - 1, "broken": sorted(set(broken(record)) - {"it_agrees_when_well"})}
+
+
+def flapping() -> list[Row]:
+    """A one-sided cut between two of five voters that comes and goes every 2 s for 10 minutes."""
+    rows = over_cores(_flapping, range(20))
+    return [{"runs": len(rows), "elections": sorted(row["elections"] for row in rows),
+             "broken": sum(bool(row["broken"]) for row in rows)}]
+
+
+def _observers(count: int) -> Row:
+    simulator = Simulator(Schedule(count + 3, 30.0), 1, every=0.2)
+    said: Counter[str] = Counter()
+    say = simulator._say
+
+    def counted(host: Any, to: str, word: Any) -> None:
+        if simulator.now > 10.0:
+            said[host.name] += 1
+        say(host, to, word)
+
+    simulator._say = counted  # type: ignore[method-assign]
+    record = simulator.run()
+    leader = next(showed.member for showed in reversed(record.showed) if showed.role == "leader")
+    first: dict[int, dict[str, float]] = {}
+    for showed in record.showed:
+        if showed.at > 10.0:
+            first.setdefault(showed.applied, {}).setdefault(showed.member, showed.at)
+    # Who takes in several entries at once shows the last of them only.
+    spread = [max(times.values()) - min(times.values()) for times in first.values() if len(times) > 0.9 * (count + 3)]
+    return {"observers": count, "leader_words_per_s": round(said[leader] / 20, 1),
+            "median_words_per_s": round(statistics.median(said.values()) / 20, 1),
+            "spread_p50_ms": round(1000 * quantile(spread, 0.5), 1),
+            "spread_p99_ms": round(1000 * quantile(spread, 0.99), 1), "broken": sorted(broken(record))}
+
+
+def observers() -> list[Row]:
+    """What many observers cost the leader, and how soon all have applied an entry."""
+    return over_cores(_observers, (0, 10, 50, 200))
+
+
+def behind(entries: int = 100_000) -> list[Row]:
+    """An observer that starts after so many entries, while five a second go on."""
+    times = replace(TIMES, piece=64 * 1024, in_flight=256 * 1024, log=4 * 2**20, kept=512 * 1024)
+    late = Schedule(4, 60.0, (Fault(0.01, "crash", ("n4",)), Fault(45.0, "restart", ("n4",))))
+    simulator = Simulator(late, 1, every=1e9, times=times)
+    sent = Counter[str]()
+    say, state = simulator._say, {"made": 0, "begun": 0.0, "done": 0.0}
+
+    def counted(host: Any, to: str, word: Any) -> None:
+        if to.startswith("n4"):
+            sent[host.name] += 1
+            sent["bytes"] += len(repr(getattr(word, "data", b""))) + sum(
+                len(entry.data) for entry in getattr(word, "entries", ()))
+        say(host, to, word)
+
+    def propose() -> None:
+        host = next((host for host in simulator.hosts.values() if host.member is not None
+                     and host.member.core.role == 3), None)
+        if host is not None and host.member is not None and state["made"] < entries:
+            from chutepin.agree.facts import set_fact
+            for _ in range(min(250, 250 - host.member.waiting)):
+                state["made"] += 1
+                host.member.propose(simulator.now, host.member.new_id(), set_fact("k", b"%d" % state["made"]),
+                                    simulator.now + 3.0)
+            simulator._pump(host)
+        simulator._at(simulator.now + 0.02, propose)
+
+    def look() -> None:
+        host = simulator.hosts["n4"]
+        others = [other.member.replica.applied for other in simulator.hosts.values() if other.member is not None]
+        if host.member is not None and simulator.now > 45.0 and not state["done"] \
+                and host.member.replica.applied >= max(others) - 5:
+            state["done"] = simulator.now
+        simulator._at(simulator.now + 0.005, look)
+
+    simulator._say = counted  # type: ignore[method-assign]
+    simulator._at(3.0, propose)
+    simulator._at(45.0, look)
+    begun = time.process_time()
+    simulator.run()
+    return [{"entries": state["made"], "caught_up_ms": round(1000 * (state["done"] - 45.0), 1),
+             "words_to_it": sum(count for name, count in sent.items() if name != "bytes"), "bytes": sent["bytes"],
+             "cpu_s": round(time.process_time() - begun, 1)}]
+
+
+# --- real processes ---
+
+def bare(directory: Path, size: int, seconds: float) -> float:
+    """Writes and syncs a second of one loop."""
+    descriptor = os.open(directory / "bare", os.O_RDWR | os.O_CREAT)
+    data, count, end = os.urandom(size), 0, time.monotonic() + seconds
+    while time.monotonic() < end:
+        os.write(descriptor, data)
+        os.fdatasync(descriptor)
+        count += 1
+    os.close(descriptor)
+    return count / seconds
+
+
+async def _rate(voters: int, askers: int, seconds: float) -> Row:
+    async with AsyncExitStack() as stack:
+        fleet = Assembly(Schedule(voters, 1.0), 1, voters=voters)
+        await fleet.open(stack)
+        leader = await fleet.agrees()
+        times, until = list[float](), time.monotonic() + seconds
+
+        async def ask(number: int) -> None:
+            while (begun := time.monotonic()) < until:
+                lines = await fleet.processes[leader].ask(f"agree-set k{number} v")
+                if lines and lines[0].startswith("SUCCESS agreed"):
+                    times.append(time.monotonic() - begun)
+
+        await asyncio.gather(*(ask(number) for number in range(askers)))
+        return {"voters": voters, "askers": askers, "per_s": round(len(times) / seconds), **figures(times)}
+
+
+def rate() -> list[Row]:
+    """Proposals a second at the leader, each over its own connection, beside a bare loop."""
+    rows = []
+    with tempfile.TemporaryDirectory() as directory:
+        for voters in (3, 5, 7):
+            loop = bare(Path(directory), 200, 2.0)
+            for askers in (1, 12):
+                rows.append({**asyncio.run(_rate(voters, askers, 5.0)), "bare_syncs_per_s": round(loop)})
+    return rows
+
+
+async def _failover(kills: int) -> list[float]:
+    times = []
+    async with AsyncExitStack() as stack:
+        fleet = Assembly(Schedule(3, 1.0), 1)
+        await fleet.open(stack)
+        for number in range(kills):
+            leader = await fleet.agrees()
+            others = [name for name in fleet.processes if name != leader]
+            fleet.processes[leader].signal(signal.SIGKILL)
+            begun = time.monotonic()
+            while not await _agreed(fleet, random.Random(number).choice(others), number):
+                await asyncio.sleep(0.01)
+            times.append(time.monotonic() - begun)
+            await fleet.restart(stack, leader)
+    return times
+
+
+async def _agreed(fleet: Assembly, name: str, number: int) -> bool:
+    lines = await fleet.processes[name].ask(f"agree-set k v{number}")
+    return bool(lines) and lines[0].startswith("SUCCESS agreed")
+
+
+def failover() -> list[Row]:
+    """The leader is killed; until the next proposal is agreed. The election time-out is 1 s."""
+    return [{"voters": 3, **figures(asyncio.run(_failover(KILLS)))}]
+
+
+async def _transfer(times: int) -> list[float]:
+    gaps = []
+    async with AsyncExitStack() as stack:
+        fleet = Assembly(Schedule(3, 1.0), 1)
+        await fleet.open(stack)
+        for number in range(times):
+            leader = await fleet.agrees()
+            other = random.Random(number).choice([name for name in fleet.processes if name != leader])
+            asking = [asyncio.create_task(_agreed(fleet, leader, part)) for part in range(8)]
+            begun = time.monotonic()
+            await fleet.processes[leader].ask(f"agree-transfer {other}")
+            while not await _agreed(fleet, other, number):
+                await asyncio.sleep(0.002)
+            gaps.append(time.monotonic() - begun)
+            await asyncio.gather(*asking)
+    return gaps
+
+
+def transfer() -> list[Row]:
+    """A leader under load hands over; until the next proposal is agreed."""
+    return [{"voters": 3, **figures(asyncio.run(_transfer(20)))}]
+
+
+async def _rest(seconds: float) -> list[Row]:
+    async with AsyncExitStack() as stack:
+        fleet = Assembly(Schedule(5, 1.0), 1)
+        await fleet.open(stack)
+        leader = await fleet.agrees()
+
+        def taken(name: str) -> tuple[float, int]:
+            process = fleet.processes[name].world.process
+            assert process is not None
+            proc = Path(f"/proc/{process.pid}")
+            fields = (proc / "stat").read_text().rpartition(")")[2].split()
+            memory = next(int(line.split()[1]) for line in (proc / "status").read_text().splitlines()
+                          if line.startswith("VmRSS"))
+            return (int(fields[11]) + int(fields[12])) / 100, memory
+
+        before = {name: taken(name) for name in fleet.processes}
+        await asyncio.sleep(seconds)
+        rows = []
+        for name in fleet.processes:
+            cpu, memory = taken(name)
+            part = "leader" if name == leader else "follower" if name in fleet.voters else "observer"
+            rows.append({"part": part, "cpu_ms_per_s": round(1000 * (cpu - before[name][0]) / seconds, 1),
+                         "rss_kib": memory})
+        return rows
+
+
+def rest() -> list[Row]:
+    """CPU and memory of processes at rest, the platform's part and membership included."""
+    return asyncio.run(_rest(20.0))
+
+
+def _campaign(seed: int) -> Row:
+    schedule = draw(seed, 5, LASTS)
+    record = asyncio.run(play(schedule, seed, every=0.08))
+    found = broken(record)
+    return {"seed": seed, "minutes": round(LASTS / 60, 1), "faults": len(schedule.faults), "asked": len(record.asked),
+            "agreed": len(record.agreed()), "reads": len(record.reads()),
+            "unknown": sum(asked.outcome == "unknown" for asked in record.asked),
+            "broken": {name: lines[:3] for name, lines in found.items()}}
+
+
+def campaign() -> list[Row]:
+    """Real processes under drawn faults, several fleets side by side."""
+    with ProcessPoolExecutor(FLEETS) as pool:
+        return list(pool.map(_campaign, range(1, FLEETS + 1)))
+
+
+PARTS: dict[str, Callable[[], list[Row]]] = {
+    "seeds": seeds, "planted": planted, "flapping": flapping, "observers": observers, "behind": behind, "rate": rate,
+    "failover": failover, "transfer": transfer, "rest": rest, "campaign": campaign}
+
+
+def drawn(directory: Path, part: str, rows: list[Row]) -> None:
+    """The chart of a part, where it has one."""
+    directory.mkdir(parents=True, exist_ok=True)
+    if part == "observers":
+        charts.lines(directory / "agree-observers.svg", "words a second that members say", "observers",
+                     "words a second", {
+                         "the leader": [(row["observers"], row["leader_words_per_s"]) for row in rows],
+                         "the median member": [(row["observers"], row["median_words_per_s"]) for row in rows]})
+    elif part == "rate":
+        charts.bars(directory / "agree-rate.svg", "proposals agreed a second", "a second",
+                    [f"{row['voters']} voters, {row['askers']} askers" for row in rows],
+                    {"proposals": [row["per_s"] for row in rows],
+                     "bare syncs": [row["bare_syncs_per_s"] for row in rows]})
+
+
+def main() -> None:
+    """Run parts, print their rows as JSON, draw their charts."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("parts", nargs="*", metavar="PART", help=", ".join(PARTS))
+    parser.add_argument("--charts", type=Path)
+    asked = parser.parse_args()
+    for part in asked.parts or [part for part in PARTS if part != "campaign"]:
+        begun = time.monotonic()
+        rows = PARTS[part]()
+        for row in rows:
+            print(json.dumps({"part": part, **row}), flush=True)
+        print(json.dumps({"part": part, "took_s": round(time.monotonic() - begun)}), flush=True)
+        if asked.charts is not None:
+            drawn(asked.charts, part, rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/chutepin/cli/agree.py
+++ b/chutepin/cli/agree.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 
 from .ask import OPS, AskError, ask, line
 from .output import as_json, show_fields, show_json, show_table
 
+if TYPE_CHECKING:
+    from ..agree.core import Durable
+    from ..agree.messages import Persist
+
 NUMBERS = frozenset({"term", "commit", "applied", "log-bytes", "snapshot"})
 JSON = click.option("--json", "json_asked", is_flag=True, help="Print JSON also on a terminal.")
 
@@ -134,28 +139,63 @@
     return _said(ops, "agree-snapshot", json_asked)
 
 
-@command.command()
-@click.argument("directory", type=click.Path(exists=True, file_okay=False, path_type=Path))
-@JSON
-def inspect(directory: Path, json_asked: bool) -> int:
-    """What the store in DIRECTORY holds of the log; the node must not run. Exit code 1 if it is damaged."""
+def opened(directory: Path, work: Callable[[str, Durable], Persist] | None = None) -> tuple[Any, ...]:
+    """What a store holds: cluster, node, number, standing, the durable state; and, where there is `work` to do by the
+    node's identity, what was written. Raises ClickException for damage, AskError where there is nothing."""
+    import msgpack
+
+    from ..agree.identity import Identity, Standing
     from ..agree.journal import Journal, JournalError
-    from ..agree.subsystem import WHO
+    from ..agree.subsystem import FOR_GOOD, WHO
     from ..store import Store, StoreError
 
     try:
         with Store.open(directory) as store:
-            who = store.get(WHO)
-            durable, _ = Journal().load(store.get)
+            who, journal = store.get(WHO), Journal()
+            if who is None:
+                raise AskError(f"{directory}: there is no log in it")
+            cluster, node, born, standing = msgpack.unpackb(who)
+            durable, _ = journal.load(store.get)
+            change = None
+            if work is not None:
+                change = work(Identity(node, (), born, Standing(standing), {}).identity, durable)
+                for key, value in journal.write(change):
+                    store.delete(key) if value is None else store.put(key, value, FOR_GOOD)
+                store.commit()
+            return cluster, node, born, standing, durable, change
     except JournalError as error:
         raise click.ClickException(f"{directory}: {error}") from None
     except StoreError as error:
         raise AskError(str(error)) from None
-    if who is None:
-        raise AskError(f"{directory}: there is no log in it")
-    import msgpack
-    cluster, name, born, standing = msgpack.unpackb(who)
-    found = {"cluster": cluster, "node": name, "store": born, "standing": standing, "term": durable.term,
+
+
+@command.command()
+@click.argument("directory", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.option("--cluster", help="Its name, in place of typing it when asked.")
+def recover(directory: Path, cluster: str | None) -> int:
+    """Make the store in DIRECTORY the only voter, after a majority of the voters is lost for good. The node must not
+    run. Exit code 1 if the name was not the cluster's: nothing has changed."""
+    from ..agree.recovery import alone
+
+    name, node, _, _, durable, _ = opened(directory)
+    click.echo(f"{node} holds the log up to {durable.base + len(durable.entries)}, term {durable.term}. What only the "
+               f"others had is lost, also where it was agreed; what stands here counts as agreed, also where it never "
+               f"was. None of the other voters may ever start with its old store again: empty those first.", err=True)
+    if (cluster or click.prompt("The cluster's name, to go on", err=True)) != name:
+        click.echo(f"that is not the name of the cluster of {directory}; nothing has changed", err=True)
+        return 1
+    *_, change = opened(directory, alone)
+    click.echo(f"{node} votes alone from its next start on, in term {change.term}")
+    return 0
+
+
+@command.command()
+@click.argument("directory", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@JSON
+def inspect(directory: Path, json_asked: bool) -> int:
+    """What the store in DIRECTORY holds of the log; the node must not run. Exit code 1 if it is damaged."""
+    cluster, node, born, standing, durable, _ = opened(directory)
+    found = {"cluster": cluster, "node": node, "store": born, "standing": standing, "term": durable.term,
              "vote": durable.vote, "snapshot": durable.snapshot.upto if durable.snapshot is not None else 0,
              "first": durable.base + 1, "last": durable.base + len(durable.entries)}
     if as_json(json_asked):
--- a/chutepin/lab/faults.py
+++ b/chutepin/lab/faults.py
@@ -52,6 +52,7 @@
     faults: tuple[Fault, ...] = ()
     together: bool = True  # all start at once; else one after the other
     zones: int = 3
+    regions: int = 1
     notes: str = field(default="", compare=False)
 
     def names(self) -> list[str]:
@@ -62,6 +63,10 @@
         """Members are dealt out over the zones."""
         return "abcdefgh"[(int(name[1:]) - 1) % self.zones]
 
+    def region(self, name: str) -> str:
+        """Zones are dealt out over the regions."""
+        return f"r{1 + 'abcdefgh'.index(self.zone(name)) % self.regions}"
+
     def as_json(self) -> str:
         """The schedule as a file's text."""
         return json.dumps(asdict(self), indent=1)
@@ -70,12 +75,13 @@
 def load_schedule(text: str) -> Schedule:
     """The schedule of a file's text. Raises ValueError naming what is wrong."""
     raw: dict[str, Any] = json.loads(text)
-    zones = Schedule(int(raw["members"]), 0.0, zones=int(raw.get("zones", 3)))
+    zones = Schedule(int(raw["members"]), 0.0, zones=int(raw.get("zones", 3)), regions=int(raw.get("regions", 1)))
 
     def named(words: Iterable[str]) -> tuple[str, ...]:
-        """`zone:a` stands for all members of that zone."""
-        return tuple(name for word in words for name in (
-            [name for name in zones.names() if zones.zone(name) == word[5:]] if word.startswith("zone:") else [word]))
+        """`zone:a` stands for all members of that zone, `region:r1` for those of that region."""
+        places = {"zone": zones.zone, "region": zones.region}
+        return tuple(name for word in words for kind, colon, place in [word.partition(":")] for name in (
+            [name for name in zones.names() if places[kind](name) == place] if colon and kind in places else [word]))
 
     faults = []
     for number, fault in enumerate(raw.pop("faults", [])):
--- a/chutepin/lab/fleet.py
+++ b/chutepin/lab/fleet.py
@@ -86,6 +86,7 @@
         self.relays: dict[tuple[str, str], Relay] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._began = 0.0
+        self._leaving: set[str] = set()  # told to; they may take a moment yet
         self.extra = ""  # further lines of every block
         self.voters: list[str] = []  # of a log in common; none: there is no such log
         self.late: list[str] = []  # those that are started by a `restart` of the schedule only
@@ -135,7 +136,8 @@
         seeds = list(self.processes)[:self._seeds]
         reach = " ".join(f'"{target}=127.0.0.1:{relay.port}"' for (source, target), relay in self.relays.items()
                          if source == process.name)
-        return (f'cluster {{\n name "fleet"\n region "r1"\n zone "{self.schedule.zone(process.name)}"\n'
+        region, zone = self.schedule.region(process.name), self.schedule.zone(process.name)
+        return (f'cluster {{\n name "fleet"\n region "{region}"\n zone "{zone}"\n'
                 f' listen "{process.address}"\n'
                 f' seeds {" ".join(f"{chr(34)}{seed}={self.processes[seed].address}{chr(34)}" for seed in seeds)}\n'
                 f' reach {reach}\n{self.extra}}}\n' + self._agree(process))
@@ -241,13 +243,15 @@
                 shutil.rmtree(self.store(process))
             case "leave":
                 process.signal(signal.SIGTERM)
+                self._leaving.add(process.name)
             case "stop":
                 process.signal(signal.SIGSTOP)
             case "wake":
                 process.signal(signal.SIGCONT)
             case "slow" if fault.value:
                 self._spawn(self._starve(process, fault.value))
-            case "restart" if not process.running or process.world.process is None:
+            case "restart" if not process.running or process.name in self._leaving:
+                self._leaving.discard(process.name)
                 await self.restart(stack, process.name)
             case "clock":
                 process.set_clock(fault.value)
--- a/chutepin/lab/simulator.py
+++ b/chutepin/lab/simulator.py
@@ -100,8 +100,9 @@
     def _start(self, name: str) -> None:
         host = self.hosts[name]
         seeds = tuple((seed, self._address(seed)) for seed in list(self.hosts)[:self._seeds])
-        setup = ClusterSetup("fleet", "r1", self.schedule.zone(name), Address(self._address(name).split(":")[0], 7301),
-                             seeds, **self._settings)
+        listen = Address(self._address(name).split(":")[0], 7301)
+        setup = ClusterSetup("fleet", self.schedule.region(name), self.schedule.zone(name), listen, seeds,
+                             **self._settings)
         incarnation = EPOCH + int(1000 * (self.now + host.clock))
         if self._kept:
             incarnation = max(incarnation, host.persisted + 1)
--- a/tests/test_assembly.py
+++ b/tests/test_assembly.py
@@ -103,7 +103,7 @@
             # Three vote again, the renewed one among them: without it there is no majority now.
             fleet.processes[leader].signal(signal.SIGKILL)
             await until(lambda: succeeds(ops, "set", "k", "after"))
-            assert (await command(ops, "get", "k"))[1].strip().endswith("after")
+            assert json.loads((await command(ops, "get", "k"))[1])["answer"].endswith(" after")
             code, output = await command(ops, "voters", "remove", other)
             assert code == 2 and "hands over" in output
             assert (await command(ops, "snapshot"))[0] == 0
@@ -112,6 +112,46 @@
     asyncio.run(run())
 
 
+def test_one_voter_goes_on_by_an_operators_word_after_a_majority_is_lost() -> None:
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            fleet = Assembly(Schedule(3, 1.0), 1)
+            await fleet.open(stack)
+            leader = await fleet.agrees()
+            assert (await fleet.processes[leader].ask("agree-set k kept"))[0].startswith("SUCCESS agreed")
+            for name in FIVE[:3]:
+                await until(lambda name=name: reads(fleet, name, "kept"))  # type: ignore[misc]
+            for name in FIVE[:3]:
+                await fleet._to_process(stack, fleet.processes[name],
+                                        Fault(0.0, "crash" if name == "n1" else "wipe", (name,)))
+            store = str(fleet.store(fleet.processes["n1"]))
+            code, output = await offline("inspect", store, "--json")
+            assert code == 0 and json.loads(output)["node"] == "n1"
+            code, output = await offline("recover", store, "--cluster", "another")
+            assert code == 1 and "nothing has changed" in output
+            assert (await offline("recover", store, "--cluster", "fleet"))[0] == 0
+            await fleet.restart(stack, "n1")
+            await until(lambda: one(fleet, "n1", "role", "leader"))
+            await until(lambda: reads(fleet, "n1", "kept"))
+            assert (await fleet.processes["n1"].ask("agree-set k v"))[0].startswith("SUCCESS agreed")
+            await fleet.restart(stack, "n2")  # with an empty store
+            await until(lambda: one(fleet, "n2", "standing", "lost"))
+            for _ in range(2):
+                await until(lambda: succeeds(fleet.processes["n1"].ops, "voters", "add", "n2"))
+            await until(lambda: one(fleet, "n2", "role", "follower"))
+
+    asyncio.run(run())
+
+
+async def offline(*words: str) -> tuple[int, str]:
+    """`agree …` on a store that no node has open."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "chutepin", "agree", *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT)
+    output, _ = await process.communicate()
+    return process.returncode or 0, output.decode()
+
+
 async def one(fleet: Assembly, name: str, field: str, value: str) -> bool:
     """A process shows this."""
     return (await fleet.shown(name)).get(field) == value
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -210,6 +210,38 @@
     asyncio.run(run())
 
 
+def test_a_predecessor_takes_the_cluster_back_and_a_reload_leaves_its_block_alone() -> None:
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            fleet = Fleet(Schedule(4, 1.0, regions=2), 1)
+            await fleet.open(stack)
+            await fleet.joined()
+            old = fleet.processes["n4"]
+            before = {row[0]: row for row in await fleet.members("n1")}["n4"]
+            new = await fleet.beside(stack, "n4", old.address, old.world.port)
+            await until_members(fleet, "n1", lambda rows: rows["n4"][2] > before[2])
+            between = {row[0]: row for row in await fleet.members("n1")}["n4"]
+            new.signal(signal.SIGKILL)  # it has spoken for n4 already; the predecessor is still there
+            await until_members(fleet, "n1", lambda rows: rows["n4"][1] == "alive" and rows["n4"][2] > between[2])
+            await fleet.joined()
+            for name in ("n1", "n2", "n3"):
+                told = "\n".join(await fleet.processes[name].ask("changes"))
+                assert not any(f"{what} n4" in told for what in ("dead", "left")), told
+            setup = fleet.setup(old)
+            was = setup.read_text()
+            for text, logged in ((was.replace('zone "a"', 'zone "z"'), "reload.only_admission"),
+                                 (was.replace("listen", "lisden"), "cluster.lisden: unknown")):
+                setup.write_text(text)
+                old.signal(signal.SIGHUP)
+                await until(lambda logged=logged: logged in fleet.log("n4"))  # type: ignore[misc]
+            rows = [line.split() for line in (await old.ask("members"))[1:-1]]
+            assert [(row[0], row[3], row[4]) for row in rows] == [
+                ("n1", "r1", "a"), ("n2", "r2", "b"), ("n3", "r1", "c"), ("n4", "r1", "a")]
+            assert (await old.ask("members"))[0] == "SUCCESS total 4 alive 4"
+
+    asyncio.run(run())
+
+
 async def until_members(fleet: Fleet, name: str, holds: Callable[[dict[str, tuple[str, str, int]]], object]) -> None:
     """Wait until what a member shows is as it must be."""
     by = time.monotonic() + EVER
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -17,6 +17,7 @@
 from chutepin.agree.member import Forward, Rejected
 from chutepin.agree.messages import Append, Piece
 from chutepin.agree.observer import Feed, Pull
+from chutepin.agree.replica import Outcome, State
 from chutepin.lab.claims import Record, broken
 from chutepin.lab.faults import Fault, Schedule, draw, split
 from chutepin.lab.quorum import WRITE, Disk, Parts, Simulator
@@ -142,6 +143,34 @@
     return most
 
 
+def test_what_one_node_does_not_know_is_refused_by_its_name() -> None:
+    simulator = Simulator(Schedule(4, 12.0), 1)
+    told: list[Outcome] = []
+
+    def ask() -> None:
+        host = simulator.hosts["n4"]
+        assert host.member is not None
+        ticket = host.member.propose(simulator.now, host.member.new_id(), b"", simulator.now + 2.0, 2)
+        host.tickets[ticket] = told.append
+        simulator._pump(host)
+
+    simulator._at(8.0, ask)
+    simulator.run()
+    assert [(outcome.state, outcome.why) for outcome in told] == [(State.REFUSED, "n1 does not know version 2")]
+
+
+def test_a_node_far_behind_follows_others_and_catches_up_in_pieces() -> None:
+    """An observer whose upstream knows no leader any more finds another; a voter that comes late is sent a state."""
+    late = Schedule(14, 60.0, (Fault(4.0, "crash", ("n3", "n14")), Fault(30.0, "restart", ("n3", "n14")),
+                               Fault(40.0, "cut", ("n1", "n4", "n5", "n6"))))
+    simulator = Simulator(late, 3, every=0.02)
+    record = simulator.run()
+    assert broken(record) == {}
+    applied = {name: host.member.replica.applied for name, host in simulator.hosts.items() if host.member is not None}
+    assert len(set(applied.values())) == 1 and applied["n14"] > 1000
+    assert simulator.hosts["n14"].member is not None and simulator.hosts["n14"].member.core.last == 0
+
+
 # --- what is durable ---
 
 def entry(index: int, term: int, data: bytes = b"x") -> Entry:
