--- a/tests/test_assembly.py
+++ b/tests/test_assembly.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import signal
 import sys
@@ -21,7 +22,7 @@
 from chutepin.lab.claims import broken
 from chutepin.lab.faults import Fault, Schedule, split
 from chutepin.ops import Clock, Counters, Log
-from chutepin.store import Store
+from chutepin.store import Store, StoreFull
 
 from .helper import ROOT
 from .powercut import SimFiles
@@ -240,6 +241,53 @@
     asyncio.run(run())
 
 
+def test_a_full_store_ends_its_part_until_there_is_room_and_a_slow_one_holds_up_nothing_else() -> None:
+    async def run() -> None:
+        files = SimFiles()
+        store = Store.open("", files=files, segment_bytes=2**14, max_bytes=2**18)
+        part = agreement(store)
+        part.start()
+        task = asyncio.create_task(part.run())
+        order = part.orders()["agree-set"]
+        await until(lambda: agreed(order, ["k", "v1"]))
+        filled: list[bytes] = []
+        with contextlib.suppress(StoreFull):
+            while True:
+                for size in (4000, 100):
+                    filled.append(b"%d" % len(filled))
+                    store.put(filled[-1], bytes(size), float("inf"))
+        value = "x" * 1000
+        await until(lambda: refused(order, ["k", value]))
+        assert part.calls()["agree"]().startswith("FAILURE takes no part")
+        for key in filled:
+            store.delete(key)
+        await until(lambda: agreed(order, ["k", "v2"]))  # by itself
+        turns = 0
+
+        async def turn() -> None:
+            nonlocal turns
+            while True:
+                await asyncio.sleep(0.01)
+                turns += 1
+
+        files.fail = lambda operation, name: time.sleep(1.2) if operation == "sync" else None
+        turning = asyncio.create_task(turn())
+        assert await agreed(order, ["k", "v3"])
+        assert turns > 20  # the loop went on while the disk worked
+        files.fail = lambda operation, name: None
+        turning.cancel()
+        task.cancel()
+        await asyncio.gather(task, turning, return_exceptions=True)
+        store.close()
+
+    asyncio.run(run())
+
+
+async def refused(order: Callable[[list[str]], Awaitable[str]], words: list[str]) -> bool:
+    """It was not agreed."""
+    return not await agreed(order, words)
+
+
 async def agreed(order: Callable[[list[str]], Awaitable[str]], words: list[str]) -> bool:
     """It was agreed."""
     return (await order(words)).startswith("SUCCESS agreed")
