No word is lost in a dead connection unseen; pending asks follow a new leader

A connection whose other end had gone took one more word without an error, and that was often the pre-vote; the next came an election time-out later. Proposals said to the former leader waited for their next turn though a new one was known.

Shorter time-outs were ruled out, as they would have hidden it. The speaker of a connection watches it for its end; what waits is said to a new leader at once.

--- a/chutepin/agree/member.py
+++ b/chutepin/agree/member.py
@@ -180,7 +180,7 @@
                 self._effects.append(Send(*pull))
         self._feed(now)
         self._again(now)
-        self._changed()
+        self._changed(now)
 
     def met(self, identity: str, version: int) -> None:
         """A node that speaks, as whom, and what it knows."""
@@ -207,7 +207,7 @@
                 self.core.receive(now, sender, word)
                 self.core.spread()
                 self._from_core()
-        self._changed()
+        self._changed(now)
 
     def done(self, now: float, effect: Apply | Restore | Readable) -> None:
         """The turn of one of these effects has come: all before it is durable."""
@@ -227,15 +227,20 @@
         for effect in self.core.take():
             self._effects.append(Send(*effect) if isinstance(effect, CoreSend) else effect)
 
-    def _changed(self) -> None:
+    def _changed(self, now: float) -> None:
         """Say what an operator may want to know."""
         core = self.core
-        now = (core.role, core.term, self.leader)
-        if (core.role is Role.LEADER) != (self._was[0] is Role.LEADER) or now[2] != self._was[2]:
+        leader = self.leader
+        if leader and leader != self._was[2]:  # what was said to the former one may never be answered
+            for proposed in self._proposed.values():
+                proposed.next = now
+            for read in self._reads.values():
+                read.next = now
+        if (core.role is Role.LEADER) != (self._was[0] is Role.LEADER) or leader != self._was[2]:
             what = "leads" if core.role is Role.LEADER else "follows" if self.leader else "no_leader"
             self.counts[what] += 1
-            self._effects.append(Tell(what, {"leader": self.leader, "term": core.term}))
-        self._was = now
+            self._effects.append(Tell(what, {"leader": leader, "term": core.term}))
+        self._was = core.role, core.term, leader
         if self.members != self._members:
             self._members = self.members
             self._effects.append(Tell("members", {"voters": ",".join(self._members.voters),
@@ -452,4 +457,4 @@
         """Change who takes part. Raises RefusedError."""
         self.core.change(now, members)
         self._from_core()
-        self._changed()
+        self._changed(now)
--- a/chutepin/agree/wire.py
+++ b/chutepin/agree/wire.py
@@ -115,6 +115,7 @@
                 continue
             try:
                 await self._connected(name, peer)
+                continue
             except (OSError, ValueError, TimeoutError):  # also an address that is none
                 self._counters.add("agree.broken")
             finally:
@@ -139,15 +140,24 @@
             async with asyncio.timeout_at(loop.time() + BY):
                 await loop.sock_connect(sock, (host, port))
                 await loop.sock_sendall(sock, PREFACE + encode(self._hello(name)))
-            while peer.frames or await self._waited(peer):
-                data, size = bytearray(), 0
-                while peer.frames and len(data) < PIECE:
-                    frame = peer.frames.popleft()
-                    data += frame
-                    size += len(frame)
-                peer.size -= size
-                async with asyncio.timeout_at(loop.time() + BY):
-                    await loop.sock_sendall(sock, data)
+            # They say nothing here, so this ends when they are gone: a word for the connection's dead end would be
+            # lost without an error, and with a voter's first question an election.
+            gone = loop.create_task(loop.sock_recv(sock, 1))
+            gone.add_done_callback(lambda _: peer.more.set())
+            try:
+                while (peer.frames or await self._waited(peer)) and not gone.done():
+                    await self._say(sock, peer)
+            finally:
+                gone.cancel()
+                await asyncio.gather(gone, return_exceptions=True)  # before the descriptor is another one's
+
+    async def _say(self, sock: socket.socket, peer: _Peer) -> None:
+        loop, data = asyncio.get_running_loop(), bytearray()
+        while peer.frames and len(data) < PIECE:
+            data += peer.frames.popleft()
+        peer.size -= len(data)
+        async with asyncio.timeout_at(loop.time() + BY):
+            await loop.sock_sendall(sock, data)
 
     async def _serve(self, sock: socket.socket, begun: bytes) -> None:
         """Take in what a member says; the cluster's transport closes the connection."""
--- a/chutepin/lab/quorum.py
+++ b/chutepin/lab/quorum.py
@@ -400,6 +400,8 @@
 
     def _change_some(self) -> None:
         """An operator lets another node vote, or one that does no more."""
+        if self.now > self.record.settled - 5.0:
+            return  # in the end nothing happens any more: a hand-over refuses for a moment, too
         self._at(self.now + self._changes * (0.5 + self._rng.random()), self._change_some)
         for host in self.hosts.values():
             member = host.member
