--- a/chutepin/cli/lab.py
+++ b/chutepin/cli/lab.py
@@ -98,3 +98,32 @@
         least = smallest(asked, lambda fewer: bool(names & set(broken(Simulator(fewer, seed).run()))))
         click.echo(f"seed {seed}, the smallest schedule that fails alike:\n{least.as_json()}", err=True)
     return result(history, 1.0, out, json_asked)
+
+
+@command.command()
+@click.option("--voters", default=3, show_default=True)
+@click.option("--elections", default=2, show_default=True)
+@click.option("--proposals", default=0, show_default=True)
+@click.option("--beats", default=0, show_default=True, help="Heartbeats.")
+@click.option("--crashes", default=0, show_default=True, help="Between any two effects.")
+@click.option("--twice", default=0, show_default=True, help="Messages that come a second time.")
+@click.option("--snapshots", default=0, show_default=True)
+@click.option("--seconds", type=click.FloatRange(0.1), default=60.0, show_default=True, help="It ends after so long.")
+@JSON
+def explore(voters: int, elections: int, proposals: int, beats: int, crashes: int, twice: int, snapshots: int,
+            seconds: float, json_asked: bool) -> int:
+    """Drive the real consensus through all interleavings of a scope; exit code 1 if an invariant is broken."""
+    import time
+
+    from ..lab.explorer import Scope
+    from ..lab.explorer import explore as explored
+
+    found = explored(Scope(voters, elections, proposals, beats, crashes, twice, snapshots=snapshots), most=10**9,
+                     until=time.monotonic() + seconds)
+    fields = {"states": found.states, "steps": found.steps, "depth": found.depth, "seconds": round(found.seconds, 1),
+              "whole": found.whole, "broken": found.broken, "path": [" ".join(step) for step in found.path]}
+    if as_json(json_asked):
+        show_json(fields)
+    else:
+        show_table("explored", [{"figure": name, "value": value} for name, value in fields.items()])
+    return int(bool(found.broken))
