--- a/chutepin/agree/codec.py
+++ b/chutepin/agree/codec.py
@@ -13,7 +13,7 @@
 
 from .identity import Meet, Met
 from .journal import pack_entry, unpack_entry
-from .member import Forward, ReadAsk, ReadAt, Rejected, Word
+from .member import Forward, Greet, ReadAsk, ReadAt, Rejected, Word
 from .messages import Append, Appended, Ask, Begin, Entry, Piece, Taken, Vote, Voters
 from .observer import Feed, Pull
 
@@ -38,7 +38,7 @@
 Said = Word | Hello | Meet | Met
 
 WORDS: tuple[type[Any], ...] = (Hello, Ask, Vote, Append, Appended, Piece, Taken, Begin, Forward, Rejected, ReadAsk,
-                                ReadAt, Pull, Feed, Meet, Met)
+                                ReadAt, Pull, Feed, Meet, Met, Greet)
 
 
 class CodecError(ValueError):
--- a/chutepin/agree/member.py
+++ b/chutepin/agree/member.py
@@ -20,6 +20,7 @@
 from .replica import MAX_PROPOSAL, Machine, Outcome, Proposal, Replica, State, new_id, pack
 
 MAX_WAITING = 256  # proposals and reads of this node that are not decided yet
+GREETED, GREET_EVERY = 4, 1.0  # nodes that a leader greets at once, seconds between
 MAX_FORWARDED = 1024  # reads of others that wait for their round
 
 
@@ -52,7 +53,14 @@
     upto: int
 
 
-Word = Message | Forward | Rejected | ReadAsk | ReadAt | Pull | Feed
+class Greet(NamedTuple):
+    """A leader wants to know as whom a node takes part, and which entries it knows; `asked` is false in the answer.
+    Who speaks has said both when its connection began."""
+
+    asked: bool
+
+
+Word = Message | Greet | Forward | Rejected | ReadAsk | ReadAt | Pull | Feed
 
 
 class Send(NamedTuple):
@@ -115,6 +123,7 @@
         self._reads: dict[int, _Read] = {}
         self._forwarded: dict[int, tuple[str, int]] = {}  # a read of the core to who asked, and its number
         self._number = self._ticket = 0
+        self._greet_at = now
         self._was: tuple[Role, int, str] = (Role.FOLLOWER, 0, "")
         self._members = self.core.members
         self._effects: list[Effect] = []
@@ -178,10 +187,20 @@
             voters = tuple(name for name in self.members.voters if name != self.name)
             if (pull := self.observer.pull(now, self.replica.applied, voters)) is not None:
                 self._effects.append(Send(*pull))
+        self._greet(now)
         self._feed(now)
         self._again(now)
         self._changed(now)
 
+    def _greet(self, now: float) -> None:
+        """A leader must know all: whom an operator lets vote, and what it may agree on."""
+        if self.core.role is not Role.LEADER or now < self._greet_at:
+            return
+        self._greet_at = now + GREET_EVERY
+        strangers = [name for name in self.alive if name not in self.known and name != plain(self.name)]
+        for name in self._rng.sample(strangers, min(GREETED, len(strangers))):
+            self._effects.append(Send(name, Greet(True)))
+
     def met(self, identity: str, version: int) -> None:
         """A node that speaks, as whom, and what it knows."""
         if plain(identity) in self.alive or plain(identity) in self.known:
@@ -198,6 +217,9 @@
                 self._asked(now, sender, word.number)
             case ReadAt():
                 self._readable(now, word.number, word.upto)
+            case Greet():
+                if word.asked:
+                    self._effects.append(Send(sender, Greet(False)))
             case Pull():
                 self.subscribers.ask(now, sender, word)
                 self._feed(now)
--- a/chutepin/agree/subsystem.py
+++ b/chutepin/agree/subsystem.py
@@ -373,7 +373,9 @@
         if member is None:
             return f"FAILURE takes no part: {self._why}\n"
         name, members = words[0], member.core.members
-        identity = member.known[name][0] if name in member.known else name
+        if name not in member.known and name != plain(member.name):
+            return f"FAILURE {name} is not known here: only a leader has met all nodes that live\n"
+        identity = member.known[name][0] if name in member.known else member.name
         if identity not in members.everybody:
             new = Voters(members.voters, (*members.learners, identity))
         else:
--- a/tests/test_assembly.py
+++ b/tests/test_assembly.py
@@ -105,6 +105,9 @@
             fleet.processes[leader].signal(signal.SIGKILL)
             await until(lambda: succeeds(ops, "set", "k", "after"))
             assert json.loads((await command(ops, "get", "k"))[1])["answer"].endswith(" after")
+            for _ in range(2):  # an observer that never spoke to this leader by itself
+                await until(lambda: succeeds(ops, "voters", "add", "n5"))
+            await until(lambda: one(fleet, "n5", "role", "follower"))
             code, output = await command(ops, "voters", "remove", other)
             assert code == 2 and "hands over" in output
             assert (await command(ops, "snapshot"))[0] == 0
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -14,7 +14,7 @@
 from chutepin.agree.codec import MAX_FRAME, CodecError, Hello, Reader, Said, decode, encode
 from chutepin.agree.identity import Identity, Meet, Met, Standing
 from chutepin.agree.journal import Journal, JournalError, entry_key
-from chutepin.agree.member import Forward, Rejected
+from chutepin.agree.member import Forward, Greet, Rejected
 from chutepin.agree.messages import Append, Piece
 from chutepin.agree.observer import Feed, Pull
 from chutepin.agree.replica import Outcome, State
@@ -157,6 +157,8 @@
     simulator._at(8.0, ask)
     simulator.run()
     assert [(outcome.state, outcome.why) for outcome in told] == [(State.REFUSED, "n1 does not know version 2")]
+    leader = next(host.member for host in simulator.hosts.values() if host.member and host.member.core.role == 3)
+    assert len(leader.known) == 3  # it has met all others, also those that never spoke to it by themselves
 
 
 def test_a_node_far_behind_follows_others_and_catches_up_in_pieces() -> None:
@@ -259,7 +261,7 @@
 WORDS: list[Said] = [
     Hello("fleet", "n1", "n1~ab", "n2", 1), Append(3, 2, 1, (entry(3, 2), CHANGE), 2, 9),
     Piece(1, 5, 1, Voters(("n1",)), 3, 77, 0, b"abc", 4), Forward(bytes(16), 1, b"data"),
-    Rejected(bytes(16), "full", False), Pull(1, 0, 0, 3), Meet("n1", "ab"),
+    Rejected(bytes(16), "full", False), Pull(1, 0, 0, 3), Meet("n1", "ab"), Greet(True),
     Feed((entry(1, 1),), "n1", -1, 2, Voters(("n1",)), 0, 0, 0, 0, 0, b"")]
 
 
