--- a/chutepin/lab/standins.py
+++ b/chutepin/lab/standins.py
@@ -24,6 +24,8 @@
 ROOT = Path(__file__).parents[2]
 EXAMPLE: dict[str, Any] = json.loads((ROOT / "deploy" / "example.json").read_text())
 PATIENCE = 60.0  # seconds
+PORTS = range(12_000, 30_000)  # that `free_port` gives; who runs rigs side by side gives each its own
+_given: set[int] = set()
 
 
 class Standins:
@@ -241,9 +243,14 @@
 
 async def free_port() -> int:
     """A port on which nothing listens, below those that the system gives to connections: a flood of them beside a test
-    must not take it before the program listens."""
+    must not take it before the program listens. None is given twice, until all were."""
     while True:
-        port = random.SystemRandom().randrange(12_000, 30_000)
+        if len(_given) >= len(PORTS):
+            _given.clear()
+        port = random.SystemRandom().choice(PORTS)
+        if port in _given:
+            continue
+        _given.add(port)
         with contextlib.suppress(OSError):
             server = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", port)
             server.close()
