Other customers' settings start and serve: untold deadlines, names in any letters, no peers

Ruled out: eviction, idle closing and drain (no such counter rose); replayed with logs shows "balancers.malformed: a field is no number" 2 ms after each connection's first request, before the core sees it.

Lines at fault: net/resp.py parse_call took a missing `d` for a malformed number, where WIRE says 0 or not conveyed, and decoded the head as ASCII; wire.py passed counts of an empty list on; api.py took an aim past the deadline for a contradiction. degradedWorth and classCalls of a wrong type were reported without their name, other fields under names that no file has.

Change: an untold deadline is the class's, counted from the arrival; heads are UTF-8; counts of a list are 1 at least, negative ones refused; messages name the file and the field as the file has it.

--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -93,7 +93,7 @@
     cls: str
     body: bytes
     arrived: float
-    due: float  # absolute; after it nobody waits for this try
+    due: float  # absolute; after it nobody waits for this try; infinite where the caller did not tell
     size: float = 0.0
     tenant: str | None = None
     subject: str | None = None
@@ -153,6 +153,7 @@
         self._tenants = {None, *(tenant.name for tenant in settings.tenants)} if settings.tenants else None
         self._gauge_count = len(settings.gauges)
         self._grace = settings.drain_grace
+        self._dues_told = settings.passes_deadline
         self._says = settings.signal is not api.Signal.NONE
         self._facade = Facade(settings, seed, self)
         self.figures = Figures(self._classes)
@@ -208,6 +209,8 @@
         cls = self._classes.get(request.cls)
         now = self._clock.now()
         known = cls is not None and (not self._tenants or request.tenant in self._tenants)
+        if cls is not None and (request.due == math.inf or (not self._dues_told and request.due == request.arrived)):
+            request.due = request.arrived + cls.deadline
         # Times that no caller can mean; what is only late passes, and is answered as late.
         sane = cls is not None and request.arrived < now + AHEAD and (
             0 < request.due - request.arrived < cls.deadline + AHEAD)
--- a/chutepin/config/platform.py
+++ b/chutepin/config/platform.py
@@ -197,4 +197,7 @@
         raise ConfigError(f"LB_CONFIG: {error.strerror or error}") from None
     except (ValueError, RecursionError):
         raise ConfigError("LB_CONFIG: not JSON") from None
-    return parse(raw, environment)
+    try:
+        return parse(raw, environment)
+    except ConfigError as error:
+        raise ConfigError(f"{error} ({path})") from None
--- a/chutepin/lab/standins.py
+++ b/chutepin/lab/standins.py
@@ -213,12 +213,12 @@
                     self.answers.setdefault(int(items[0]), []).append(items[1:])
         self.ended = True
 
-    def call(self, cls: str, body: bytes, key: str | None = None, wait: int = 5000,
+    def call(self, cls: str, body: bytes, key: str | None = None, wait: int | None = 5000,
              team: str = "bernard-lodge") -> int:
-        """Send a request; its tag."""
+        """Send a request; its tag. Without `wait` it does not say how long it waits."""
         self.tag += 1
-        fields = f"i={os.urandom(8).hex()},s={int(time.time() * 1000)},f=1,t={team},d={wait}"
-        fields += ",m=24.5,p=0.5" + (f",k={key}" if key else "")
+        fields = f"i={os.urandom(8).hex()},s={int(time.time() * 1000)},f=1,t={team},m=24.5,p=0.5"
+        fields += (f",k={key}" if key else "") + (f",d={wait}" if wait is not None else "")
         self.writer.write(array(b"RPC.CALL", b"%d" % self.tag, cls.encode(), fields.encode(), body))
         return self.tag
 
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -115,9 +115,9 @@
     if len(items) not in (4, 5):
         raise ProtocolError("a call has five parts")
     try:
-        cls, head = items[2].decode("ascii"), items[3].decode("ascii")
+        cls, head = items[2].decode(), items[3].decode()  # names are the settings', in whatever letters
     except UnicodeDecodeError:
-        raise ProtocolError("a call's head is not ASCII") from None
+        raise ProtocolError("a call's head is not UTF-8") from None
     fields = dict(part.partition("=")[::2] for part in head.split(","))
     id = fields.get("i", "")
     if len(id) != 16 or not set(id) <= set("0123456789abcdef"):
@@ -125,7 +125,8 @@
     body = items[4] if len(items) == 5 else b""
     if len(body) > MAX_BODY:
         raise ProtocolError("a body is too long")
-    arrived, wait = number(fields.get("s", "")) / 1000, number(fields.get("d", "")) / 1000
+    arrived = number(fields.get("s", "")) / 1000
+    wait = number(fields["d"]) / 1000 if "d" in fields else math.inf  # callers need not pass their deadline
     key = fields.get("k")
     if key is not None and len(key) > 64:
         raise ProtocolError("a key is too long")
--- a/poststall/api.py
+++ b/poststall/api.py
@@ -119,6 +119,7 @@
     calls_over: float = 1.0  # as a mean over this time
     linger: float = 0.0  # an abandoned call stays in the dependency's hands this long
     gauges: tuple[str, ...] = ()
+    passes_deadline: bool = True  # callers say how long they wait; else the class's deadline holds
     marks_retries: bool = False  # further tries say so; without it, an unmarked request tells nothing
     worth_by_work: bool = False
     over_share_worth: float = 1.0
@@ -127,6 +128,8 @@
     def __post_init__(self) -> None:
         if not self.classes:
             raise SettingsError("classes: at least one is needed")
+        if len({cls.name for cls in self.classes}) < len(self.classes):
+            raise SettingsError("classes: a name is given twice")
         for name in ("memory", "callers", "servers", "crowd", "crowd_over", "run_factor", "calls_over"):
             if not getattr(self, name) > 0:
                 raise SettingsError(f"{name}: must be above 0")
--- a/poststall/wire.py
+++ b/poststall/wire.py
@@ -75,16 +75,45 @@
     return value
 
 
-def _flag(obj: Obj, name: str) -> bool:
-    value = obj.get(name, False)
-    if value not in (True, False, None):
+def _flag(obj: Obj, name: str, default: bool = False) -> bool:
+    value = obj.get(name)
+    if value is None:
+        return default
+    if value not in (True, False):
         raise WireError(f"field '{name}' is not true or false")
     return bool(value)
 
 
-def _row(obj: Obj, name: str, index: int, default: Any) -> Any:
+def _row(obj: Obj, name: str, index: int) -> Obj:
+    """The value of one class in a row, as an object of its own under the row's name."""
     row = _part(obj, name, list)
-    return row[index] if index < len(row) else default
+    return {name: row[index]} if index < len(row) else {}
+
+
+def _present(obj: Obj, name: str) -> int:
+    """How many the list held at the start, 1 or more. It may have held none: it was empty, or all had just ended; a
+    node that is there for somebody reckons with one."""
+    count = int(number(obj, name, 1))
+    if count < 0:
+        raise WireError(f"field '{name}' must not be negative")
+    return max(1, count)
+
+
+# The names that the settings have outside, of what is checked inside under another.
+_NAMES = {"classes": "categories", "aim": "slo", "cores": "familyInfo.cpus", "memory": "familyInfo.memoryKb",
+          "crowd": "safety.fallMultiple", "crowd_over": "safety.overloadFor", "run_factor": "familyInfo.runFactor",
+          "calls_over": "familyInfo.callsOver", "cold_from": "safety.coldFrom", "warm_after": "safety.warmAfter",
+          "answer_slack": "safety.answerSlack", "drain_grace": "safety.drainGrace", "key_memory": "familyInfo.kbPerKey",
+          "share_for": "familyInfo.shareFor", "said_for": "familyInfo.saidFor", "idle_max": "familyInfo.keepaliveMax",
+          "max_hold_off": "caps.maxRetryAfter", "calls_out": "familyInfo.callsOut", "linger": "familyInfo.linger"}
+
+
+def _told(error: str) -> str:
+    """An error of the settings under the names that they have outside."""
+    field, _, why = error.partition(":")
+    parts = field.split(".")
+    parts[0], parts[-1] = _NAMES.get(parts[0], parts[0]), _NAMES.get(parts[-1], parts[-1])
+    return ".".join(parts) + ":" + why
 
 
 def _class(raw: Any, index: int, info: Obj) -> api.RequestClass:
@@ -94,9 +123,11 @@
     return api.RequestClass(
         name=text(raw, "name"), repeat=_choice(raw, "idempotency", _REPEAT),
         worth=number(raw, "importance", 1.0),
-        aim=number(raw, "slo", deadline), deadline=deadline, late_worth=number(raw, "lateWorth", 0.0),
-        window=number(raw, "window", 0.0), calls=bool(_row(info, "classCalls", index, False)),
-        skip_worth=float(_row(info, "degradedWorth", index, 0.0)), aim_stretch=number(raw, "aimStretch", 0.0))
+        # An aim past the deadline is no contradiction: whatever is answered by then is in time.
+        aim=min(deadline, number(raw, "slo", deadline)), deadline=deadline, late_worth=number(raw, "lateWorth", 0.0),
+        window=number(raw, "window", 0.0), calls=_flag(_row(info, "classCalls", index), "classCalls"),
+        skip_worth=number(_row(info, "degradedWorth", index), "degradedWorth", 0.0),
+        aim_stretch=number(raw, "aimStretch", 0.0))
 
 
 def _tenant(raw: Any) -> api.Tenant:
@@ -117,7 +148,7 @@
             classes=tuple(_class(raw, index, info) for index, raw in enumerate(classes)),
             tenants=tuple(_tenant(raw) for raw in _part(env, "tenants", list)),
             cores=int(number(info, "cpus")), memory=number(info, "memoryKb"),
-            servers=int(number(env, "servers", 1)), callers=int(number(info, "senders", 1)),
+            servers=_present(env, "servers"), callers=_present(info, "senders"),
             cold=_flag(info, "cold"), cold_from=number(safety, "coldFrom", 1.0),
             warm_after=number(safety, "warmAfter", 0.0), answer_slack=number(safety, "answerSlack", 0.0),
             drain_grace=number(safety, "drainGrace", 0.0), crowd=number(safety, "fallMultiple", 8.0),
@@ -130,11 +161,12 @@
             calls_below=info.get("downstream", "none") != "none", calls_out=number(info, "callsOut", 0.0),
             calls_over=number(info, "callsOver", 1.0), linger=number(info, "linger", 0.0),
             gauges=tuple(str(name) for name in _part(info, "meters", list)),
+            passes_deadline=_flag(info, "passesDeadline", True),
             marks_retries=_flag(_part(env, "clientHabits", dict), "marksRetry"),
             worth_by_work=env.get("worthBy") == "work", over_share_worth=number(env, "overShareWorth", 1.0),
             tick=number(env, "tick", 0.001))
     except api.SettingsError as error:
-        raise WireError(f"settings: {error}") from None
+        raise WireError(_told(str(error))) from None
 
 
 def _request(m: Obj) -> api.Request:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -282,6 +282,14 @@
     "ops": {"ops": "127.0.0.1"},
     "limits.sockets": {"limits": {"sockets": "many"}},
     "settings": {"settings": []},
+    "settings: field 'degradedWorth'": {"settings": {"familyInfo": {"degradedWorth": ["much"]}}},
+    "settings: field 'classCalls'": {"settings": {"familyInfo": {"classCalls": ["yes"]}}},
+    "settings: field 'servers'": {"settings": {"servers": -1}},
+    "settings: familyInfo.cpus": {"settings": {"familyInfo": {"cpus": 0}}},
+    "settings: categories.a.slo": {"settings": {"categories": [{
+        "name": "a", "deadline": 1.0, "slo": 0, "idempotency": "pure"}]}},
+    "settings: categories: a name is given twice": {"settings": {"categories": [{
+        "name": "a", "deadline": 1.0, "idempotency": "pure"}] * 2}},
 }
 
 
@@ -292,11 +300,16 @@
         "categories": [{"name": "a", "deadline": 1.0, "idempotency": "pure"}],
         "familyInfo": {"cpus": 1, "memoryKb": 9.0}}}
     path = tmp_path / "config.json"
+    if isinstance(raw, dict) and isinstance(raw.get("settings"), dict):  # what is not named there is sound
+        settings = good["settings"] | raw["settings"]
+        settings["familyInfo"] = good["settings"]["familyInfo"] | settings["familyInfo"]
+        raw = {"settings": settings}
     path.write_text(raw if isinstance(raw, str) else json.dumps(good | (raw or {})))
     environ = {**os.environ, "LB_CONFIG": str(path)}
     if raw is None:
         del environ["LB_CONFIG"]
     done = subprocess.run([sys.executable, "-m", "chutepin"], cwd=ROOT, env=environ, capture_output=True,
-                          text=True, check=False)
+                          text=True, check=False, timeout=60)  # one that is taken for good serves on
     assert done.returncode == 2 and done.stderr.startswith(f"chutepin: {field}"), done.stderr
     assert done.stderr.count("\n") == 1
+    assert "LB_CONFIG" in field or str(path) in done.stderr
