Nothing is owed when something ends: early signals, farewells, slow half-closed peers, moves

What was seen: by reading every path that ends something, then forced in a test on real sockets. A SIGHUP, SIGUSR1 or SIGTERM before the loop had handlers ended the process. A half-closed balancer that reads slowly got 2 of its 30 answers. A farewell said to a connection that had not begun was written nowhere and never again. Connections that the system had accepted were reset at leaving. A request read but not looked at when its connection was closed for room or idleness ran, though no answer could be written. A SIGHUP while the executor's link was being met left the node on the old address; a host that says nothing held a connect for minutes, of the executor's link and, one descriptor a call, of records. A remark of the executor of over 512 bytes ended the link, and came again on each next one. A background loop that failed was not noticed.

Ruled out by reading: results, due times and withdrawals in one tick (one place answers, a second answer is dropped), keys dropped while running (stale asks whether the try is in hand), calls of a broken records link (no turn of the loop between its removal and their ends).

Lines at fault: resp.py _live closed the socket under a transport that still wrote; Connection.bye with the no-op write of serve; Front.leave; _evict and _look; ExecutorLink.run; RecordsService._serve; LineParser's bound for notices; Node.run, which had the first signal handler of the process.

Loops of the node are begun again after an error of ours.

--- a/chutepin/admission/acceptor.py
+++ b/chutepin/admission/acceptor.py
@@ -130,6 +130,14 @@
         """The port that is listened on."""
         return int(self._sockets[0].getsockname()[1])
 
+    def take_rest(self) -> None:
+        """Admit all that the system has accepted already: closing the socket would reset it, with what it has sent."""
+        for listener in self._sockets if not self._halted else ():
+            with contextlib.suppress(OSError):  # the backlog is empty, or no descriptor is left
+                for _ in range(BACKLOG):
+                    sock, address = listener.accept()
+                    self._newcomer(sock, pack(str(address[0])), short=False)
+
     def close(self) -> None:
         """Listen no more."""
         if self._paused is not None:
--- a/chutepin/net/control.py
+++ b/chutepin/net/control.py
@@ -6,6 +6,7 @@
 import json
 import random
 from collections.abc import Callable
+from urllib.parse import quote
 
 import h11
 
@@ -58,7 +59,7 @@
             self._streams = await asyncio.open_connection(address.host, address.port)
         reader, writer = self._streams
         body = json.dumps({"condition": "Ready" if self._ready() else "NotReady"}).encode()
-        request = h11.Request(method="PUT", target=f"/v2/endpoints/{self._name}", headers=[
+        request = h11.Request(method="PUT", target=f"/v2/endpoints/{quote(self._name, safe='')}", headers=[
             ("Host", f"{address.host}:{address.port}"), ("Content-Type", "application/json"),
             ("Content-Length", str(len(body)))])
         for event in (request, h11.Data(data=body), h11.EndOfMessage()):
--- a/chutepin/net/executor.py
+++ b/chutepin/net/executor.py
@@ -17,9 +17,11 @@
 from .lines import LineParser, ProtocolError, line, number, word
 
 MAX_BODY = 64 * 1024
+MAX_REMARK = 16 * 1024  # a LOG may be longer than any line with a meaning; refused, it would come again on each link
 MAX_BACKLOG = 8 * 2**20  # bytes that a link may owe the executor before it is given up
 AGAIN_AFTER = 0.02  # seconds between attempts to connect, doubled up to ...
 AGAIN_AT_MOST = 0.5
+CONNECT_BY = 2.0  # seconds in which a link must stand: a host that says nothing would hold it for minutes
 MOVED_AFTER = 0.3  # seconds after which a link to an old address is left, read or not
 _ENDS = {"complete": End.OK, "error": End.ERROR, "cancelled": End.CANCELLED, "unknown": End.NEVER}
 
@@ -69,7 +71,7 @@
 
     @staticmethod
     def _new_parser() -> LineParser:
-        return LineParser(lambda words: words[0] in ("EXIT", "CALLOUT"), MAX_BODY)
+        return LineParser(lambda words: words[0] in ("EXIT", "CALLOUT"), MAX_BODY, MAX_REMARK)
 
     @property
     def synced(self) -> bool:
@@ -278,13 +280,18 @@
 
     async def run(self) -> None:
         """Connect, and again whenever the link is lost, until cancelled."""
-        pause = AGAIN_AFTER
+        pause, loop = AGAIN_AFTER, asyncio.get_running_loop()
         while True:
+            address = self._address
             try:
-                reader, writer = await asyncio.open_connection(self._address.host, self._address.port)
+                async with asyncio.timeout_at(loop.time() + CONNECT_BY):
+                    reader, writer = await asyncio.open_connection(address.host, address.port)
             except OSError:
                 self._counters.add("executor.refused")
             else:
+                if address != self._address:  # moved while it was met: nobody would leave this link
+                    writer.transport.abort()
+                    continue
                 pause, self._link, self._moving = AGAIN_AFTER, writer.transport, False
                 try:
                     await self._serve(reader, writer)
--- a/chutepin/net/lines.py
+++ b/chutepin/net/lines.py
@@ -15,8 +15,8 @@
 class LineParser:
     """Feed it bytes, take whole messages. `has_body` tells of a line's words whether the last is a length."""
 
-    def __init__(self, has_body: Callable[[list[str]], bool], max_body: int) -> None:
-        self._has_body, self._max_body = has_body, max_body
+    def __init__(self, has_body: Callable[[list[str]], bool], max_body: int, max_line: int = MAX_LINE) -> None:
+        self._has_body, self._max_body, self._max_line = has_body, max_body, max_line
         self._buffer = bytearray()
         self._words: list[str] | None = None  # a line whose body is yet to come
         self._length = 0
@@ -43,9 +43,9 @@
         return words, raw[:-2]
 
     def _line(self) -> bool:
-        end = self._buffer.find(b"\r\n", 0, MAX_LINE + 2)
+        end = self._buffer.find(b"\r\n", 0, self._max_line + 2)
         if end < 0:
-            if len(self._buffer) > MAX_LINE:
+            if len(self._buffer) > self._max_line:
                 raise ProtocolError("a line is too long")
             return False
         line = bytes(self._buffer[:end])
--- a/chutepin/net/records.py
+++ b/chutepin/net/records.py
@@ -17,6 +17,7 @@
 YOUNG = 0.1  # seconds after a reply in which a connection cannot have been forgotten by the service
 MAX_BACKLOG = 2 * 2**20
 IDLE = 8.0  # seconds; the service closes at 10, and a call that crosses the close would end unknown
+CONNECT_BY = 2.0  # seconds in which a connection must stand; until then its calls have not run
 GRACE = 0.03  # seconds after a call's deadline in which the service's own PAST is awaited
 _ENDS = {"DONE": End.OK, "WAIT": End.REFUSED, "ERROR": End.ERROR, "PAST": End.LATE, "EMPTY": End.UNREACHABLE}
 
@@ -156,7 +157,8 @@
     async def _serve(self, connection: Connection, address: Address) -> None:
         stood = False  # until a connection stands no call can have run
         try:
-            reader, connection.writer = await asyncio.open_connection(address.host, address.port)
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + CONNECT_BY):
+                reader, connection.writer = await asyncio.open_connection(address.host, address.port)
             stood = True
             self._counters.add("records.connections")
             for call in connection.calls.values():
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -28,6 +28,7 @@
 FIRST_BY = 2.0  # seconds in which a connection must have sent its first whole message
 WHOLE_BY = 5.0  # seconds in which any later message that has begun must be whole
 PART = "front"  # in the ledger of descriptors
+FLUSH_BY = 5.0  # seconds in which a balancer that sends no more must have read its last answers
 LINGER = 1.0  # seconds in which what a malformed connection still sends is read and thrown away
 READ = 4096  # bytes that one connection may have taken in before others have their turn
 CHECKS_IDLE = 60.0  # seconds that a connection for health checks may be silent
@@ -392,6 +393,7 @@
         connection = self.connections.pop(key)
         self._deadlines.cancel(key)
         connection.bye(now)
+        connection.closing = True  # what was read and not looked at is as unread: no answer could be written
         if (transport := self._transports.pop(key, None)) is not None:
             transport.close()
 
@@ -439,6 +441,8 @@
             return
         connection.write = lambda data: self._write(connection, transport, data)
         self._transports[key] = transport
+        if connection.bye_at is not None:  # said before there was anything to write to
+            connection.write(BYE)
         if self.tap is not None:
             self.tap.opened(id(connection))
         self.counters.add("balancers.connections")
@@ -453,6 +457,7 @@
             # An end of what the balancer sends is no end of its waiting: what was read is still answered.
             while connection.open and not transport.is_closing():
                 await asyncio.sleep(0.05)
+            await self._flushed(writer)
         finally:
             self._transports.pop(key, None)
             self._unsent.pop(key, None)
@@ -493,6 +498,13 @@
                 while await reader.read(65536):
                     await asyncio.sleep(0)
 
+    async def _flushed(self, writer: asyncio.StreamWriter) -> None:
+        """Close once what was written is out of the process's hands. Guards answers that a balancer reads slowly."""
+        writer.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + FLUSH_BY):
+                await writer.wait_closed()
+
     def _write(self, connection: Connection, transport: asyncio.WriteTransport, data: bytes) -> None:
         """Guards memory against balancers that do not read: past the bounds their connection is dropped."""
         if transport.is_closing():
@@ -558,6 +570,7 @@
             return
         if not connection.open and connection.bye_at is not None:
             if transport is not None and now - connection.bye_at > BYE_GRACE:
+                connection.closing = True  # as in `_evict`
                 transport.close()
                 return
         elif not connection.open and now - connection.last_used > self._idle_limit(connection):
@@ -569,6 +582,7 @@
     def leave(self) -> None:
         """Take no new connections and ask that nothing more be sent on the open ones."""
         if self._acceptor is not None:
+            self._acceptor.take_rest()
             self._acceptor.close()
             self._acceptor = None
         for connection in self.connections.values():
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -9,11 +9,12 @@
 import resource
 import signal
 import socket
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from poststall import api
 
+from . import early
 from .admission import Ledger, Rules, Share
 from .admission.addresses import Networks
 from .broker import Broker
@@ -226,13 +227,17 @@
             self.front.apply(rules_of(setup.admission))
         self.setup = dataclasses.replace(self.setup, admission=setup.admission)
 
+    def _hear_signals(self) -> None:
+        hears = {signal.SIGTERM: self._told.set, signal.SIGUSR1: self.print_state, signal.SIGHUP: self.reload}
+        for signum, heard in hears.items():
+            asyncio.get_running_loop().add_signal_handler(signum, heard)
+        for number in early.take():  # what crossed the start, as a SIGHUP after the configuration was read
+            hears[signal.Signals(number)]()
+
     async def run(self) -> int:
         """Serve until told to leave, then leave."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._told.set)
-        loop.add_signal_handler(signal.SIGUSR1, self.print_state)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-        loop.set_exception_handler(self._failed)
+        asyncio.get_running_loop().set_exception_handler(self._failed)
+        self._hear_signals()
         if self.handover is None or not self.handover.expected:
             try:
                 await self._serve()
@@ -243,8 +248,8 @@
                 await self.listener.listen(self.config.ops.host, self.config.ops.port)
             except OSError as error:
                 raise ConfigError(f"ops: {error.strerror or error}") from None
-        work: list[Awaitable[None]] = [self.executor.run(), self._sweep(), self._report(),
-                                       *(part.run() for part in self.subsystems)]
+        work: list[Awaitable[None]] = [self._kept(self.executor.run), self._kept(self._sweep),
+                                       self._kept(self._report), *(part.run() for part in self.subsystems)]
         if self.handover is not None:
             work.append(self.handover.run())
         if self.consumer is not None:
@@ -346,6 +351,16 @@
         self.counters.add("errors")
         self.log.event("error", message=str(context.get("message")), error=repr(context.get("exception")))
 
+    async def _kept(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Begin a part's work again should an error of ours end it: without it the node would only look alive."""
+        while True:
+            try:
+                return await work()
+            except Exception as error:
+                self.counters.add("errors")
+                self.log.event("error", message="a part of the node is begun again", error=repr(error))
+            await asyncio.sleep(SWEEP)
+
     async def _sweep(self) -> None:
         over = 0
         for turn in itertools.count():
