--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -687,7 +687,7 @@
     def _sweep(self, now: float) -> None:
         """Drop entries whose window is over, unless their run still goes on; settle runs in doubt."""
         for id, attempt in self._attempts.items():
-            if not attempt.owed and attempt.phase is Phase.RUNNING:
+            if not attempt.owed and attempt.phase in (Phase.RUNNING, Phase.STOPPED):
                 if attempt.request.watched:
                     self._executor.resolve(id)
                 elif attempt.request.due + LINGER < now:
--- a/chutepin/net/amqp.py
+++ b/chutepin/net/amqp.py
@@ -288,6 +288,7 @@
         self._open: dict[str, Delivery] = {}
         self._again_at = [0.0] * len(config.queues)  # when each queue may be consumed again
         self._leaving = False
+        self._link: asyncio.WriteTransport | None = None
         self._wants = [cls.worth for cls in broker.classes.values()]
 
     # --- from the broker's deliveries to requests ---
@@ -405,8 +406,11 @@
 
     @property
     def settled(self) -> bool:
-        """Nothing is open on any link."""
-        return not any(delivery.tag in delivery.session.unsettled for delivery in self._open.values())
+        """Nothing is open on any link, and what was settled has left the process: an acknowledgement that stays
+        behind has its delivery come again, to a process that knows nothing of it."""
+        unsent = self._link is not None and self._link.get_write_buffer_size() > 0
+        return not unsent and not any(
+            delivery.tag in delivery.session.unsettled for delivery in self._open.values())
 
     # --- the socket ---
 
@@ -436,6 +440,7 @@
                 writer.transport.abort()
 
         session = Session(self.config, write, self.delivered, self.counters)
+        self._link = writer.transport
         before = self._settlements()
         try:
             session.begin()
@@ -454,6 +459,7 @@
                 writer.close()
             else:
                 writer.transport.abort()
+            self._link = None
             self.lost(session)
         return self._settlements() > before
 
--- a/chutepin/net/executor.py
+++ b/chutepin/net/executor.py
@@ -131,10 +131,13 @@
 
         Guards against a run that nobody began keeping its place until its request is over. An EXEC written
         again without asking could follow the end of the run and begin it a second time."""
+        stopped = {command.id for command in self._commands if command.data.startswith(b"KILL ")}
         for id in self._doubtful if self._pauses else ():
             assert self.send is not None
-            self.send(line("KILL", id))
-            self._asked[id] = self._paused[id] = self._meters + 1
+            self._asked[id] = self._meters + 1
+            if id not in stopped:  # else the stop is meant, and was just written
+                self.send(line("KILL", id))
+                self._paused[id] = self._meters + 1
         if self._asked:
             self.meter()
 
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -258,7 +258,7 @@
         if self.handover is not None:
             work.append(self.handover.run())
         if self.consumer is not None:
-            work.append(self.consumer.run())
+            work.append(self._kept(self.consumer.run))
         if self.source is not None:
             work.append(self._replay(self.source))
         tasks = [asyncio.ensure_future(part) for part in work]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,32 @@
-"""Tests that run side by side must not give one port to two programs: each worker has its own."""
+"""Tests that run side by side must not give one port to two programs: each worker has its own. And tests that are known
+to fail are passed over (`known_red.py`)."""
 
 from __future__ import annotations
 
 import os
 
+import pytest
+
 from chutepin.lab import standins
 
+from .known_red import listed
+
 WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
 WORKERS = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
 SHARE = len(standins.PORTS) // WORKERS
 
 standins.PORTS = standins.PORTS[WORKER * SHARE:(WORKER + 1) * SHARE]
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """A listed test may fail, and must: one that passes is to be taken off the list."""
+    for item in items:
+        for known in listed():
+            if known.names(item.nodeid):
+                item.add_marker(pytest.mark.xfail(strict=True, reason=f"{known.cause} ({known.issue})"))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """What the suite passed over."""
+    for known in listed():
+        terminalreporter.write_line(f"KNOWN RED {known.test}: {known.cause} ({known.issue})")
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import random
+import socket
 import struct
 import tempfile
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import pytest
@@ -16,7 +17,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from pamqp import base, body, commands, frame, header
 
-from chutepin.config import ConfigError, load_amqp
+from chutepin.config import Address, ConfigError, load_amqp
 from chutepin.facade import End
 from chutepin.lab.standins import eventually
 from chutepin.net.amqp import GREETING, Consumer, Content, FrameParser, Session, State, decode
@@ -301,6 +302,37 @@
     on_sockets(test, StandinBroker(), prefetch=1024)
 
 
+def test_a_node_that_leaves_waits_for_acknowledgements_that_its_broker_has_yet_to_read() -> None:
+    """Settled, as it seemed, it went with the acknowledgements in its hands, and what was served came again."""
+    async def test() -> None:
+        async with asyncio.timeout_at(asyncio.get_running_loop().time() + 30), AsyncExitStack() as stack:
+            core, broker = Core(), StandinBroker()
+            await broker.start(stack)
+            config = load_amqp(str(ROOT / "deploy" / "amqp.toml"), wire.parse_settings(ENV), SECRET)
+            there = replace(config, address=Address("127.0.0.1", broker.port))
+            consumer = Consumer(there, core.broker, core.hand.clock,
+                                core.counters, Log(core.hand.clock), 1)
+            running = asyncio.ensure_future(consumer.run())
+            await eventually(lambda: broker.links)
+            messages = [broker.put(STATUS, b"%d" % n, reply_to="depot") for n in range(3)]
+            await eventually(lambda: len(core.ports.ids("exec")) == 3)
+            assert consumer._link is not None
+            consumer._link.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            broker.deaf = True
+            for id in core.ports.ids("exec"):
+                core.broker.ended(id, End.OK, 0.1, b"r" * 300_000)
+            consumer.leave()
+            assert not consumer.settled
+            broker.deaf = False
+            await eventually(lambda: consumer.settled)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            await eventually(lambda: all(message.settled for message in messages))
+            assert [message.settled for message in messages] == ["ack"] * 3
+
+    asyncio.run(test())
+
+
 def quiet_session(sent: list[bytes], core: Core) -> tuple[Consumer, Session]:
     """A consumer over a core, and a session of it that writes to a list."""
     config = load_amqp(str(ROOT / "deploy" / "amqp.toml"), wire.parse_settings(ENV), SECRET)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,7 +12,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 
 import pytest
 
@@ -21,9 +21,10 @@
 from chutepin.config import Address
 from chutepin.facade import End
 from chutepin.lab.standins import eventually
+from chutepin.net.executor import ExecutorLink, Session
 from chutepin.net.records import RecordsService
 from chutepin.net.resp import BYE_GRACE, FIRST_BY, LINGER, WHOLE_BY, Connection, Front
-from chutepin.ops import Counters, Log
+from chutepin.ops import Clock, Counters, Log
 
 from .helper import ENV, Core, Hand
 from .test_standing import call, heard, on_front, on_links
@@ -238,6 +239,92 @@
     assert core.ports.ids("exec") == ["in time"] and core.words("late") == ["refused"]
 
 
+# --- the executor ---
+
+
+class Executor:
+    """What the node writes, link after link; a test answers by hand."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.link: asyncio.StreamWriter | None = None
+        self.ends: list[tuple[str, End]] = []
+
+    async def start(self, stack: AsyncExitStack) -> Address:
+        server = await asyncio.start_server(self._met, "127.0.0.1", 0)
+        stack.callback(server.close)
+        return Address("127.0.0.1", server.sockets[0].getsockname()[1])
+
+    async def _met(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.link = writer
+        with suppress(OSError):
+            while line := await reader.readline():
+                self.lines.append(line.strip())
+
+    async def says(self, after: bytes, line: bytes) -> None:
+        """Once this was read, and not before, answer."""
+        await eventually(lambda: after in self.lines)
+        self.lines.clear()
+        assert self.link is not None
+        self.link.write(line + b"\r\n")
+
+    def cut(self) -> None:
+        assert self.link is not None
+        self.link.transport.abort()
+
+    def welcome(self, cold: bool, born: float) -> None: ...
+    def metered(self, values: tuple[float, ...]) -> None: ...
+    def wants_call(self, id: str, notice: int, body: bytes) -> None: ...
+    def not_carried_out(self, command: str, id: str) -> None: ...
+
+    def ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
+        self.ends.append((id, end))
+
+
+@pytest.mark.parametrize("stopped", [True, False])
+def test_a_stop_that_is_meant_is_not_undone_by_asking_for_a_run_in_doubt(stopped: bool) -> None:
+    """Its EXEC may or may not have been read when the link broke: the node asks by a stop, and wakes what says that it
+    was stopped. Told to stop it meanwhile, it woke the run all the same."""
+    async def test(stack: AsyncExitStack) -> None:
+        there, clock, counters = Executor(), Clock(), Counters()
+        session = Session(clock, counters, Log(clock), True)
+        session.notices = there
+        link = ExecutorLink(await there.start(stack), session, counters, Log(clock))
+        running = asyncio.ensure_future(link.run())
+        await there.says(b"JOIN 0", b"WELCOME hot 5")
+        await there.says(b"METER 1", b"METERS 1 0.1 1")
+        await eventually(lambda: session.synced)
+        link.exec("a", "work-order", b"x", repeatable=False)
+        await eventually(lambda: b"EXEC a work-order 1" in there.lines)
+        there.cut()
+        await eventually(lambda: not session.synced)
+        if stopped:
+            link.kill("a")
+        await there.says(b"JOIN 0", b"WELCOME hot 5")
+        await there.says(b"METER 2", b"METERS 2 0.1 1")
+        await there.says(b"KILL a", b"EXIT 1 a cancelled 10 0\r\n")
+        if stopped:
+            await eventually(lambda: there.ends)
+            assert there.ends == [("a", End.CANCELLED)] and b"WAKE a" not in there.lines
+        else:
+            await eventually(lambda: b"WAKE a" in there.lines)
+            assert not there.ends
+        running.cancel()
+
+    on_links(test)
+
+
+@pytest.mark.parametrize("stopped", [True, False])
+def test_a_run_in_doubt_whose_request_is_over_is_asked_for_also_where_it_was_stopped(stopped: bool) -> None:
+    """Never begun, it would have kept its place for good: nothing else tells what became of it."""
+    core = Core()
+    core.pick("a", cls="status-read" if stopped else "work-order", key=None if stopped else "k")
+    core.broker.gone("a")
+    assert core.ports.ids("kill") == ["a"] * stopped
+    core.pass_time(2.1)
+    assert core.ports.ids("resolve")
+
+
 # --- the records service ---
 
 
--- a/tests/test_repo.py
+++ b/tests/test_repo.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import os
 import re
+import subprocess
+import sys
 from pathlib import Path
 
+import pytest
+
+from .known_red import FILE, Known, listed, problems
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -25,3 +32,37 @@
     imports = set(re.findall(r"^(?:import|from) (\S+)", text, re.M))
     allowed = {"__future__", "heapq", "math", "random", "collections", "collections.abc", "enum"}
     assert imports <= allowed | {".", ".api"}
+
+
+def test_the_list_of_known_red_tests_is_sound() -> None:
+    assert problems(listed()) == []
+
+
+def test_a_fourth_known_red_test_and_a_name_without_a_test_are_found() -> None:
+    here = "tests/test_repo.py::test_module_limits"
+    assert problems([Known(here, "a", "1")] * 3) == []
+    assert problems([Known(here, "a", "1")] * 4) == ["4 tests are listed, 3 at most"]
+    assert problems([Known(here + "_not", "a", "1"), Known("tests/none.py::test", "a", "1")]) == [
+        f"no such test: {here}_not", "no such test: tests/none.py::test"]
+
+
+def test_a_known_red_line_of_another_shape_is_an_error(tmp_path: Path) -> None:
+    (tmp_path / FILE).write_text("tests/test_repo.py::test_module_limits | a cause\n")
+    with pytest.raises(ValueError, match="not test"):
+        listed(tmp_path)
+
+
+@pytest.mark.parametrize(("passes", "on_list", "code"), [(False, True, 0), (True, True, 1), (False, False, 1)])
+def test_the_suite_passes_over_known_red_tests_alone(passes: bool, on_list: bool, code: int, tmp_path: Path) -> None:
+    """On a suite of one test, with this suite's own hooks; one that was mended and is still listed fails."""
+    tests = tmp_path / "tests"
+    tests.mkdir()
+    (tests / "__init__.py").touch()
+    for name in ("conftest.py", "known_red.py"):
+        (tests / name).write_text((ROOT / "tests" / name).read_text())
+    (tests / "test_one.py").write_text(f"def test_one() -> None:\n    assert {passes}\n")
+    (tmp_path / FILE).write_text("tests/test_one.py::test_one | a cause | issue 1\n" if on_list else "")
+    ran = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"], cwd=tmp_path, text=True,
+                         env={**os.environ, "PYTHONPATH": str(ROOT)}, capture_output=True, check=False)
+    assert ran.returncode == code, ran.stdout
+    assert ("KNOWN RED tests/test_one.py::test_one: a cause (issue 1)" in ran.stdout) == on_list
