A key no longer runs at both processes of an upgrade once its former window is over

Shrunk: a key that ran at the older process long ago is still in its table (kept KEY_GRACE past the window); after the hand-over the newer process runs it anew and tells KEY; the older one took no notice (Table.learn: 'what ran here is known here'), asked, was granted, found its old entry over, and ran it. Table.learn now gives way to the next window's entry. Looked for the same elsewhere in the table: - keep: who waited for a run that outlived its window was forgotten when the next try took the entry's place. - find: a try held for longer than the window was not found by its repeat; both held one key and the older was failed. - Broker._forget: a held try that the core answered itself left its entry; the next try waited for a run nobody began. Each has a test seen to fail without its mend. The test of an upgrade under load is mended: with a window of 2 s its keys ran again rightly on a busy machine (2.12 s apart and more by its own log); its keys now last 60 s.

--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -345,12 +345,12 @@
         if self.keys.find(key, self._clock.now()) is None:
             if self.keys.full or key in self.keys.entries:  # its window is over, but some may have come within it
                 return False
-            self.keys.learn(Entry(key, id, until, contents))
+            self.keys.learn(Entry(key, id, until, contents), self._clock.now())
         return True
 
     def heard(self, entry: Entry) -> None:
         """The other process tells what became of a key."""
-        self._waited(self.keys.learn(entry), entry.end or End.ERROR, entry.result)
+        self._waited(self.keys.learn(entry, self._clock.now()), entry.end or End.ERROR, entry.result)
         self._settle()
 
     def unheard(self, key: str) -> None:
@@ -598,6 +598,8 @@
 
     def _forget(self, id: str) -> None:
         attempt = self._attempts.pop(id, None)
+        if attempt is not None and attempt.repeat is Repeat.KEYED:
+            self._key_unused(attempt.request)  # also of one that the module has yet to hear about
         if attempt is not None and not self._counters.holds(not attempt.owed, "answered before forgotten"):
             self._answer_now(attempt.request.cls, attempt.caller, Answer(Verdict.FAILED, value=self._value))
 
@@ -640,9 +642,13 @@
 
     def forget_key(self, id: str) -> None:
         """Take an entry out whose try never ran."""
-        attempt = self._attempts.get(id)
-        entry = self.keys.entries.get(attempt.request.key or "") if attempt is not None else None
-        if entry is not None and entry.holder == id and entry.ran is None:
+        if (attempt := self._attempts.get(id)) is not None:
+            self._key_unused(attempt.request)
+
+    def _key_unused(self, request: Request) -> None:
+        """A try is over: where it holds an entry and never ran, the entry goes, and a further try is new."""
+        entry = self.keys.entries.get(request.key or "")
+        if entry is not None and entry.holder == request.id and entry.ran is None and not entry.foreign:
             self._waited(self.keys.drop(entry), End.ERROR, b"")
 
     def _key_runs(self, attempt: Attempt) -> bool:
--- a/chutepin/keys/table.py
+++ b/chutepin/keys/table.py
@@ -35,6 +35,7 @@
         self._room = room
         self.results = 0  # bytes of kept results
         self.entries: dict[str, Entry] = {}
+        self._outlived: dict[str, list[str]] = {}  # by run that goes on past its window: who waits for it
         # Told of an entry that has changed, before anybody acts on the change; false where the other process can't be
         # known to hear of it. Of an entry that is gone, `None` stands in its place.
         self.told: Callable[[str, Entry | None], bool] = lambda key, entry: True
@@ -45,21 +46,29 @@
         return len(self.entries) * KEY_BYTES + self.results >= self._room
 
     def find(self, key: str | None, arrived: float) -> Entry | None:
-        """The entry that a try repeats: one whose window it arrived in, however late it was read."""
+        """The entry that a try repeats: one whose window it arrived in, however late it was read, or one that has not
+        run yet, however long it has been held: its window will count from its run's arrival."""
         entry = self.entries.get(key or "")
-        return entry if entry is not None and arrived <= entry.until else None
+        return entry if entry is not None and (entry.ran is None or arrived <= entry.until) else None
 
     def keep(self, key: str, holder: str, arrived: float, until: float, contents: bytes) -> None:
         """Enter a try, or hand an entry that never ran over to a newer try."""
         entry = self.entries.get(key)
         if entry is None or (entry.ran is not None and arrived > entry.until):
-            self.results -= len(entry.result) if entry is not None else 0
+            self._outlive(entry)
             entry = self.entries[key] = Entry(key, holder, until + KEY_SLACK, b"")
         entry.until = max(entry.until, until + KEY_SLACK)
         if entry.ran is None:
             entry.holder, entry.contents, entry.foreign = holder, contents, False
         self.told(key, entry)
 
+    def _outlive(self, entry: Entry | None) -> None:
+        """Another entry takes the place of one whose window is over. Its run may go on, and some may wait for it."""
+        if entry is not None:
+            self.results -= len(entry.result)
+            if entry.waiting and entry.ran is not None:
+                self._outlived[entry.ran] = entry.waiting
+
     def run(self, key: str, holder: str, until: float) -> bool:
         """A try is about to run; false where it may not. `until`: the end of the window that the run opens.
 
@@ -77,7 +86,7 @@
         """A run is over; who waited for it and is to be told now. Without proof that it never began, it stays."""
         entry = self.entries.get(key)
         if entry is None or entry.ran != holder or entry.foreign:
-            return []
+            return self._outlived.pop(holder, [])
         if end is End.NEVER:  # proof that nothing was started: a further try may run
             return self.drop(entry)
         return self._over(entry, End.OK if end is End.OK else End.ERROR, result)
@@ -107,11 +116,14 @@
 
     # --- the node's other process ---
 
-    def learn(self, heard: Entry) -> list[str]:
+    def learn(self, heard: Entry, now: float) -> list[str]:
         """The other process tells of an entry of its own; who waited for it and is to be told now."""
         entry = self.entries.get(heard.key)
         if entry is not None and not entry.foreign and entry.ran is not None:
-            return []  # what ran here is known here
+            if entry.until >= now or heard.until <= entry.until:
+                return []  # what ran here is known here
+            self._outlive(entry)  # but that was in a window which is over, and this is the key's next
+            entry = None
         if entry is None:
             entry = self.entries[heard.key] = Entry(heard.key, heard.holder, heard.until, heard.contents)
         entry.foreign, entry.holder, entry.ran, entry.contents = True, heard.holder, heard.ran, heard.contents
