Records connections that stand idle leave their places to calls that they may not take

A call that may not be repeated takes no connection that was silent for 0.1 s (its service may have forgotten it); with all places taken by such ones it shared a connection, or, with none in use, ended unreachable until the idle ones were closed after 8 s. RecordsService._connection counted them as places in use. Now one that stands idle and unfit is closed for the new one. The test was seen to fail without it.

--- a/chutepin/net/records.py
+++ b/chutepin/net/records.py
@@ -73,7 +73,8 @@
                  most: int, ledger: Ledger | None = None) -> None:
         self._address, self._clock, self._counters, self._log = address, clock, counters, log
         self._most = most  # connections
-        self._ledger = ledger or Ledger(2 * most + 8, {PART: (0, most)})
+        # Old connections stand beside those that take their places until they have gone.
+        self._ledger = ledger or Ledger(2 * most + 8, {PART: (0, 2 * most)})
         self.listener: Called | None = None
         self._connections: list[Connection] = []  # the last used one last
         self._timers: dict[str, asyncio.TimerHandle] = {}
@@ -127,14 +128,23 @@
         self._end(id, End.LATE)
 
     def _connection(self, call: Call) -> Connection | None:
-        """The idle connection that was used last, else a new one, else that with the fewest calls."""
+        """The idle connection that was used last, else a new one, else that with the fewest calls.
+
+        An idle one that does not take the call gives its place to a new one: else calls shared a connection, or ended
+        unreachable, while places stood idle."""
         now = self._clock.now()
         fit = [connection for connection in self._connections if connection.takes(call, now)]
         idle = [connection for connection in fit if not connection.calls]
         if idle:
             return idle[-1]
-        if self._address is None or sum(not c.retired for c in self._connections) >= self._most:
-            return min(fit, key=lambda connection: len(connection.calls), default=None)
+        if sum(not c.retired for c in self._connections) >= self._most:
+            unfit = next((c for c in self._connections if not (c.calls or c.retired) and c.writer is not None), None)
+            if unfit is not None:
+                self._close(unfit)
+            else:
+                return min(fit, key=lambda connection: len(connection.calls), default=None)
+        if self._address is None:
+            return None
         if not self._ledger.take(PART):  # shared, or ended unreachable: it has not run then
             self._counters.add("records.no_descriptor")
             return min(fit, key=lambda connection: len(connection.calls), default=None)
@@ -217,6 +227,12 @@
         now = self._clock.now()
         for connection in list(self._connections):
             idle = not connection.calls and (connection.retired or now - connection.last_used > IDLE)
-            if idle and connection.writer is not None:
-                connection.retired = True  # it is still in the list until the loop has its turn
-                connection.writer.close()
+            if idle:
+                self._close(connection)
+
+    @staticmethod
+    def _close(connection: Connection) -> None:
+        """Close an idle one. It is in the list until the loop has its turn, and takes no call any more."""
+        if connection.writer is not None:
+            connection.retired = True
+            connection.writer.close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -408,6 +408,25 @@
             self.loop.close()
 
 
+@pytest.mark.parametrize("idle", [2, 3])
+def test_connections_that_stand_idle_leave_their_places_to_calls_that_they_may_not_take(idle: int) -> None:
+    """A call that may not be repeated goes on a fresh connection. With all places taken by old ones it shared one with
+    another call, or ended unreachable, for as long as those stood idle."""
+    calls = Calls()
+    calls.begin()
+    for id in "cde"[:idle]:
+        calls.call(id, refuse=False, pause=0.0)
+    for wire, id, number in list(calls.on_wire):
+        wire.reader.feed_data(line(id, "DONE", body=b"%d" % number))
+    calls.settle()
+    calls.on_wire.clear()
+    for id, pause in (("a", 1.0), ("b", 0.0)):
+        calls.call(id, refuse=False, pause=pause)
+    assert len({wire for wire, _, _ in calls.on_wire}) == 2
+    calls.connection_ends(b"")
+    calls.loop.close()
+
+
 TestBalancers, TestLinks, TestCalls = Balancers.TestCase, Links.TestCase, Calls.TestCase
 TestBalancers.settings = TestLinks.settings = TestCalls.settings = STEPS
 
