--- a/chutepin/keys/table.py
+++ b/chutepin/keys/table.py
@@ -35,7 +35,7 @@
         self._room = room
         self.results = 0  # bytes of kept results
         self.entries: dict[str, Entry] = {}
-        self._outlived: dict[str, list[str]] = {}  # by run that goes on past its window: who waits for it
+        self._outlived: dict[str, Entry] = {}  # by run that goes on past its window, while some wait for it
         # Told of an entry that has changed, before anybody acts on the change; false where the other process can't be
         # known to hear of it. Of an entry that is gone, `None` stands in its place.
         self.told: Callable[[str, Entry | None], bool] = lambda key, entry: True
@@ -67,7 +67,12 @@
         if entry is not None:
             self.results -= len(entry.result)
             if entry.waiting and entry.ran is not None:
-                self._outlived[entry.ran] = entry.waiting
+                self._outlived[entry.ran] = entry
+
+    def _late(self, run: str | None) -> list[str]:
+        """Who waited for a run that has outlived its window and is over now."""
+        entry = self._outlived.pop(run or "", None)
+        return entry.waiting if entry is not None else []
 
     def run(self, key: str, holder: str, until: float) -> bool:
         """A try is about to run; false where it may not. `until`: the end of the window that the run opens.
@@ -86,7 +91,7 @@
         """A run is over; who waited for it and is to be told now. Without proof that it never began, it stays."""
         entry = self.entries.get(key)
         if entry is None or entry.ran != holder or entry.foreign:
-            return self._outlived.pop(holder, [])
+            return self._late(holder)
         if end is End.NEVER:  # proof that nothing was started: a further try may run
             return self.drop(entry)
         return self._over(entry, End.OK if end is End.OK else End.ERROR, result)
@@ -121,7 +126,7 @@
         entry = self.entries.get(heard.key)
         if entry is not None and not entry.foreign and entry.ran is not None:
             if entry.until >= now or heard.until <= entry.until:
-                return []  # what ran here is known here
+                return self._late(heard.ran) if heard.end is not None else []  # what ran here is known here
             self._outlive(entry)  # but that was in a window which is over, and this is the key's next
             entry = None
         if entry is None:
@@ -137,7 +142,7 @@
 
     def orphan(self) -> list[str]:
         """The other process has gone: what it ran without an end is in doubt, what it held never ran. Who waited."""
-        waiting: list[str] = []
+        waiting = [id for run, entry in list(self._outlived.items()) if entry.foreign for id in self._late(run)]
         for entry in [e for e in self.entries.values() if e.foreign]:
             if entry.ran is None:
                 waiting += self.drop(entry, tell=False)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -282,6 +282,27 @@
     pair.a_key_runs_once_over_both()
 
 
+@pytest.mark.parametrize("how", ["ends", "dies"])
+def test_who_waits_at_the_other_process_is_told_though_the_window_of_that_run_is_over(how: str) -> None:
+    """The next try has taken the entry's place meanwhile."""
+    pair = Pair()
+    pair.begins(flows=None, first=0)
+    pair.comes(0, 3, 3.0)
+    pair.upgrade()
+    pair.flows(True, 1)
+    pair.comes(1, 3, 3.0)  # waits for the run of the older process
+    pair.pass_time(WINDOW + 0.2)
+    pair.comes(1, 3, 3.0)
+    old, new = (process.core for process in pair.processes)
+    assert [len(core.ports.ids("exec")) for core in (old, new)] == [1, 1] and not new.words("1")
+    if how == "ends":
+        old.end("0")
+        pair.flows(True, 1)
+    else:
+        pair.new.dialogue.lost(alive=False)
+    assert new.words("1") == ["served" if how == "ends" else "failed"] and not new.broker.keys._outlived
+
+
 TestPair = Pair.TestCase
 TestPair.settings = settings(STEPS, max_examples=150, stateful_step_count=40)
 
