A balancer that never reads gives its place back; signals may cross their handing over

Link.close() aborts after FLUSH_BY what is still unsent. - Front._live: the descriptor was closed under a transport that still waited to write; the loop kept its number, and the next connection that got it failed. Ruled out elsewhere: the links' writers are aborted, never closed beneath. Now aborted first. - Front._evict since: any bytes that lay unread kept a connection its place, so strangers could hold a table by trickling. Only one that has sent something sound is spared. - signals.heard since: next(iter(_kept)) on a table that a signal may enlarge between the two; at the start that would have ended the node. The table has a fixed size now. A hand-over that was asked for before the end of hearing took what came after; found by the new test. Tests: five ways of closing a peer that never reads, real sockets, the next connection on the same number served; a trickling stranger; a signal sent at each machine step of another one's handing over. Seen to fail with each mend taken out (five mutations); the old form of the table itself was not run under the new test, which knows the new one.

--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -266,6 +266,14 @@
                     self.reader.feed_data(data)
         return self.reader.pending > 0
 
+    def close(self) -> None:
+        """Close once what was written is out of the process's hands, or its peer has had its time to read it. Guards
+        descriptors against a peer that never reads."""
+        self.transport.close()
+        if self.transport.get_write_buffer_size():
+            loop = asyncio.get_running_loop()
+            loop.call_at(loop.time() + FLUSH_BY, self.transport.abort)
+
 
 class Tap(Protocol):
     """Who records what passes on the connections, each known by a number."""
@@ -428,9 +436,10 @@
         return Welcome.SERVE
 
     def _evict(self, key: int, now: float) -> bool:
-        """Close a connection to make room for another; false for one on which something has just come."""
+        """Close a connection to make room for another; false for one on which something has just come. One that never
+        sent anything sound gains nothing so: it would keep its place by trickling."""
         link = self._links.get(key)
-        if link is not None and link.holds():
+        if link is not None and self.connections[key].sound and link.holds():
             return False
         self.counters.add("balancers.made_room")
         self.table.closed(key)
@@ -440,7 +449,7 @@
         connection.bye(now)
         connection.closing = True  # what still comes is as unread: no answer could be written
         if link is not None:
-            link.transport.close()
+            link.close()
         return True
 
     def serve(self, sock: socket.socket, address: bytes) -> None:
@@ -463,6 +472,7 @@
     async def _live(self, connection: Connection, sock: socket.socket, reader: Reader,
                     protocol: asyncio.StreamReaderProtocol) -> None:
         """A connection's life, from its socket to its end."""
+        transport: asyncio.Transport | None = None
         try:
             transport, _ = await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, sock)
             writer = asyncio.StreamWriter(transport, protocol, reader, asyncio.get_running_loop())
@@ -470,6 +480,10 @@
         except OSError:
             self.counters.add("balancers.reset")
         finally:
+            if transport is not None:
+                # What its peer did not read in time is lost. Closed under a transport that still waits to write, the
+                # descriptor would stay known to the loop, and the next connection of that number would fail.
+                transport.abort()
             sock.close()
             self.table.closed(connection.key)
             self.connections.pop(connection.key, None)
@@ -622,7 +636,7 @@
         link = self._links.get(connection.key)
         if connection.closing:
             if link is not None and now > connection.gone_by:
-                link.transport.close()
+                link.close()
                 return
         elif now > connection.whole_by:
             # The rest may lie there unread; one that trickles gains no more than this.
@@ -634,7 +648,7 @@
         elif not connection.open and connection.bye_at is not None:
             if link is not None and now > self._closed_at(connection) and not link.holds():
                 connection.closing = True
-                link.transport.close()
+                link.close()
                 return
         elif not connection.open and now - connection.last_used > self._idle_limit(connection):
             self.counters.add("balancers.idle")
--- a/chutepin/signals.py
+++ b/chutepin/signals.py
@@ -13,7 +13,9 @@
 from types import FrameType
 
 HEARD = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)
-_kept: dict[int, float] = {}  # what has come and was not handed over: when it came first
+# When each came that was not handed over. A signal may come between any two steps below: the table never changes its
+# size, and a signal is taken out before it is acted on, so that one which comes meanwhile counts anew.
+_kept: dict[int, float | None] = dict.fromkeys(HEARD)
 _wake: Callable[[], object] | None = None
 
 
@@ -25,7 +27,8 @@
 
 def _came(number: int, _: FrameType | None) -> None:
     """Runs between two steps of whatever is being done, in Unix time as the other end's clock has it."""
-    _kept.setdefault(number, time.time())
+    if _kept[number] is None:
+        _kept[number] = time.time()
     if _wake is not None:
         _wake()
 
@@ -36,12 +39,16 @@
     global _wake
 
     def hand_over() -> None:
-        while _kept:
-            number = next(iter(_kept))
-            by[signal.Signals(number)](_kept.pop(number))
+        for number in HEARD if _wake is wake else ():  # else they are no longer heard here: this was asked for before
+            if (at := _kept[number]) is not None:
+                _kept[number] = None
+                by[number](at)
+
+    def wake() -> None:
+        loop.call_soon_threadsafe(hand_over)  # as asyncio's runner wakes its loop for SIGINT
 
     listen()
-    _wake = lambda: loop.call_soon_threadsafe(hand_over)  # noqa: E731  as asyncio's runner wakes its loop for SIGINT
+    _wake = wake
     try:
         hand_over()
         yield
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -10,9 +10,12 @@
 import os
 import signal
 import socket
+import sys
 import time
 from collections.abc import Callable, Iterator
 from contextlib import AsyncExitStack, suppress
+from types import FrameType
+from typing import Any
 
 import pytest
 
@@ -21,13 +24,14 @@
 from chutepin.config import Address
 from chutepin.facade import End
 from chutepin.lab.standins import eventually
+from chutepin.net import resp
 from chutepin.net.executor import ExecutorLink, Session
 from chutepin.net.records import RecordsService
 from chutepin.net.resp import BYE_GRACE, FIRST_BY, LINGER, WHOLE_BY, Connection, Front
 from chutepin.ops import Clock, Counters, Log
 
 from .helper import ENV, Core, Hand
-from .test_standing import call, heard, on_front, on_links
+from .test_standing import answer_all, asks, call, heard, on_front, on_links
 
 # --- connections that are closed by this end ---
 
@@ -108,18 +112,8 @@
     async def test(core: Core, front: Front, port: int) -> None:
         front.listeners[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         with socket.socket() as client:
-            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            client.connect(("127.0.0.1", port))
-            half = call(core, 31)[:40]
-            await asyncio.get_running_loop().sock_sendall(
-                client, b"".join(call(core, tag) for tag in range(1, 31)) + half)
-            await eventually(lambda: core.counters.counts["requests"] == 30)
-            begun: set[str] = set()
-            while core.broker.in_hand:
-                for id in set(core.ports.ids("exec")) - begun:
-                    begun.add(id)
-                    core.broker.ended(id, End.OK, 0.1, b"r" * 3500)
-                core.pass_time(0.01)
+            await asks(core, client, port, call(core, 31)[:40])
+            answer_all(core)
             core.hand.time += WHOLE_BY + LINGER + 0.1
             client.sendall(b"x")
             front.close_idle()
@@ -130,6 +124,65 @@
     on_front(test)
 
 
+@pytest.mark.parametrize("how", ["malformed", "slow", "goodbye", "evicted", "half closed"])
+def test_a_balancer_that_never_reads_gives_its_place_back_and_spoils_no_other(
+        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Answers lie unsent as its connection is closed: it was waited for without end, or its descriptor was closed while
+    the loop still waited to write there, and the next connection got that number."""
+    monkeypatch.setattr(resp, "FLUSH_BY", 0.05)
+
+    async def test(core: Core, front: Front, port: int) -> None:
+        front.listeners[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        with socket.socket() as client:
+            await asks(core, client, port, call(core, 31)[:40] if how == "slow" else b"")
+            answer_all(core)
+            link, = front._links.values()
+            assert link.transport.get_write_buffer_size()
+            if how == "malformed":
+                client.sendall(b"what")
+                await eventually(lambda: core.counters.counts["balancers.malformed"])
+                core.hand.time += LINGER + 0.3
+                front.close_idle()
+            elif how == "slow":
+                core.hand.time += WHOLE_BY + LINGER + 0.1
+                front.close_idle()
+                core.hand.time += LINGER + 0.3
+                front.close_idle()
+            elif how == "goodbye":
+                only(front).bye(core.hand.time)
+                core.hand.time += BYE_GRACE + 0.3
+                front.close_idle()
+            elif how == "evicted":
+                core.hand.time += 1.9
+                front.max_connections = 1
+                assert front.admits(b"\x7f\0\0\1", short=False) is Welcome.SERVE
+            else:
+                client.shutdown(socket.SHUT_WR)
+            await eventually(lambda: not front.ledger.held)
+            with socket.create_connection(("127.0.0.1", port)) as other:
+                other.sendall(call(core, 40, cls="status-read"))
+                await eventually(lambda: core.counters.counts["requests"] == 31)
+                answer_all(core)
+                other.shutdown(socket.SHUT_WR)
+                assert [items[:2] for items in await heard(other)] == [[b"40", b"OK"]]
+            assert "balancers.reset" not in core.counters.counts
+
+    on_front(test)
+
+
+def test_a_stranger_keeps_no_place_by_trickling() -> None:
+    async def test(core: Core, front: Front, port: int) -> None:
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            client.sendall(call(core, 7)[:20])
+            await eventually(lambda: front._links and only(front).parser.partial)
+            core.hand.time += 1.9
+            front.max_connections = 1
+            client.sendall(call(core, 7)[20:30])
+            assert front.admits(b"\x7f\0\0\1", short=False) is Welcome.SERVE
+
+    on_front(test)
+
+
 def only(front: Front) -> Connection:
     connection, = front.connections.values()
     return connection
@@ -204,7 +257,7 @@
         nonlocal clock
         for _ in range(2):
             os.kill(os.getpid(), signal.SIGTERM)
-            while not signals._kept:  # the handler has its turn between two steps
+            while signals._kept[signal.SIGTERM] is None:  # the handler has its turn between two steps
                 pass
             clock += 3.0
         assert not came
@@ -222,6 +275,50 @@
     asyncio.run(run())
 
 
+@pytest.mark.usefixtures("handlers")
+def test_a_signal_may_come_at_any_step_of_the_handing_over_of_another() -> None:
+    """Each step of the machine in turn: both are heard, and nothing breaks."""
+    async def crossing(at: int) -> int:
+        heard, steps = list[str](), 0
+
+        def step(frame: FrameType, event: str, _: object) -> Any:
+            nonlocal steps
+            if frame.f_code.co_name != "hand_over":
+                return None
+            frame.f_trace_opcodes = True
+            if event == "opcode":
+                if steps == at:
+                    os.kill(os.getpid(), signal.SIGUSR1)
+                steps += 1
+            return step
+
+        by = {signal.SIGTERM: lambda at: heard.append("term"), signal.SIGHUP: lambda at: heard.append("hup"),
+              signal.SIGUSR1: lambda at: heard.append("usr1")}
+        signals.listen()
+        os.kill(os.getpid(), signal.SIGHUP)
+        while signals._kept[signal.SIGHUP] is None:
+            pass
+        before = sys.gettrace()
+        sys.settrace(step)
+        try:
+            with signals.heard(asyncio.get_running_loop(), by):
+                sys.settrace(before)
+                if steps > at:
+                    await eventually(lambda: "usr1" in heard)
+        finally:
+            sys.settrace(before)
+        assert sorted(heard) == ["hup", "usr1"][:1 + (steps > at)]
+        return steps
+
+    async def run() -> None:
+        at = 0
+        while await crossing(at) > at:
+            at += 1
+        assert at > 40  # the whole of it was gone through
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("up", [True, False])
 def test_the_grace_counts_from_the_notice_though_it_was_heard_late(up: bool) -> None:
     """Also where the executor comes up only then."""
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -198,6 +198,24 @@
     on_front(test)
 
 
+async def asks(core: Core, client: socket.socket, port: int, more: bytes) -> None:
+    """Thirty requests from a balancer that has little room for answers and does not read, then more."""
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect(("127.0.0.1", port))
+    await asyncio.get_running_loop().sock_sendall(client, b"".join(call(core, tag) for tag in range(1, 31)) + more)
+    await eventually(lambda: core.counters.counts["requests"] == 30)
+
+
+def answer_all(core: Core) -> None:
+    """End all runs with long results, until nothing is in hand."""
+    begun: set[str] = set()
+    while core.broker.in_hand:
+        for id in set(core.ports.ids("exec")) - begun:
+            begun.add(id)
+            core.broker.ended(id, End.OK, 0.1, b"r" * 3500)
+        core.pass_time(0.01)
+
+
 def test_a_half_closed_balancer_that_reads_slowly_gets_all_its_answers(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(core: Core, front: Front, port: int) -> None:
         front.listeners[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -208,18 +226,10 @@
             closed.set()
 
         with socket.socket() as client:
-            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            client.connect(("127.0.0.1", port))
-            await asyncio.get_running_loop().sock_sendall(client, b"".join(call(core, tag) for tag in range(1, 31)))
+            await asks(core, client, port, b"")
             client.shutdown(socket.SHUT_WR)
-            await eventually(lambda: core.counters.counts["requests"] == 30)
             monkeypatch.setattr(asyncio.StreamWriter, "close", closing)
-            ended: set[str] = set()
-            while core.broker.in_hand:
-                for id in set(core.ports.ids("exec")) - ended:
-                    ended.add(id)
-                    core.broker.ended(id, End.OK, 0.1, b"r" * 3500)
-                core.pass_time(0.01)
+            answer_all(core)
             await closed.wait()
             for _ in range(5):  # whatever follows the close in the same breath has its turn
                 await asyncio.sleep(0)
