A records connection that is closed while idle waits for no service that never reads

What is unsent there is wanted by no call, so the connection is aborted. Ruled out by reading: executor, control plane, records calls given up and AMQP links are aborted already; operators' calls and newcomers turned away have deadlines or close at once. The test (real socket, 1 MiB unsent, the service answers unread calls) was seen to fail without it.

--- a/chutepin/net/records.py
+++ b/chutepin/net/records.py
@@ -235,4 +235,4 @@
         """Close an idle one. It is in the list until the loop has its turn, and takes no call any more."""
         if connection.writer is not None:
             connection.retired = True
-            connection.writer.close()
+            connection.writer.transport.abort()  # what is unsent is wanted by no call; a close would wait for it
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -458,3 +458,39 @@
         assert ends == [("b", End.REFUSED)]
 
     on_links(test)
+
+
+def test_a_records_service_that_never_reads_gives_the_descriptor_back() -> None:
+    """The call whose bytes lie unsent is over, and the connection idle: closed, it was waited for without end."""
+    async def test(stack: AsyncExitStack) -> None:
+        hand, ledger, ends, links = Hand(), Ledger(64, {"records": (0, 8)}), list[End](), list[asyncio.StreamWriter]()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            links.append(writer)
+            await asyncio.get_running_loop().create_future()  # reads no more than the stream's own limit
+
+        class Listener:
+            def called(self, id: str, end: End, reply: bytes) -> None:
+                ends.append(end)
+
+        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        server = await asyncio.start_server(serve, sock=listener, limit=1024)
+        stack.callback(server.close)
+        service = RecordsService(Address("127.0.0.1", listener.getsockname()[1]), hand.clock, Counters(),
+                                 Log(hand.clock), 1, ledger)
+        service.listener = Listener()
+        service.call("a", hand.time + 60, b"x", repeatable=True)
+        await eventually(lambda: links and service._connections[0].writer)
+        writer = service._connections[0].writer
+        assert writer is not None
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        service.call("b", hand.time + 60, b"x" * 2**20, repeatable=True)
+        links[0].write(b"a WAIT\r\nb WAIT\r\n")  # answered without being read
+        await eventually(lambda: len(ends) == 2)
+        assert writer.transport.get_write_buffer_size() and ledger.held == 1
+        hand.time += 9
+        service.close_idle()
+        await eventually(lambda: not ledger.held)
+
+    on_links(test)
