--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -25,5 +25,8 @@
 
 
 if __name__ == "__main__":
-    print(f"python {'.'.join(map(str, sys.version_info[:3]))}, {os.cpu_count()} cores:",
-          *(asyncio.run(at_rest(*sys.argv[1:])) for _ in range(3)), "KiB")
+    print(
+        f"python {'.'.join(map(str, sys.version_info[:3]))}, {os.cpu_count()} cores:",
+        *(asyncio.run(at_rest(*sys.argv[1:])) for _ in range(3)),
+        "KiB",
+    )
--- a/chutepin/__main__.py
+++ b/chutepin/__main__.py
@@ -15,8 +15,10 @@
     if len(sys.argv) == 1:
         signals.listen()
         from .serve import serve
+
         return serve()
     from .cli import run
+
     return run()
 
 
--- a/chutepin/admin/calls.py
+++ b/chutepin/admin/calls.py
@@ -10,8 +10,19 @@
 
 # Calls of subsystems that may be off, and what is said then.
 OFF = dict.fromkeys(("members", "links", "changes", "view"), "no cluster") | dict.fromkeys(
-    ("agree", "agree-set", "agree-get", "agree-ask", "agree-void", "agree-add", "agree-remove", "agree-transfer",
-     "agree-snapshot"), "no log in common")
+    (
+        "agree",
+        "agree-set",
+        "agree-get",
+        "agree-ask",
+        "agree-void",
+        "agree-add",
+        "agree-remove",
+        "agree-transfer",
+        "agree-snapshot",
+    ),
+    "no log in common",
+)
 
 
 def success(text: str = "") -> str:
@@ -27,13 +38,21 @@
 class Calls:
     """The calls of one process."""
 
-    def __init__(self, lifecycle: Lifecycle, figures: Figures,
-                 more: Mapping[str, Callable[[], str]] | None = None,
-                 orders: Mapping[str, Callable[[list[str]], Awaitable[str]]] | None = None) -> None:
+    def __init__(
+        self,
+        lifecycle: Lifecycle,
+        figures: Figures,
+        more: Mapping[str, Callable[[], str]] | None = None,
+        orders: Mapping[str, Callable[[list[str]], Awaitable[str]]] | None = None,
+    ) -> None:
         """`more`, `orders`: calls of subsystems that the operator's file has switched on, without words and with."""
         self._lifecycle, self._figures = lifecycle, figures
         self.table: dict[str, Callable[[], str]] = {
-            "ready": self._ready, "show-stat": self._show_stat, "drain": self._drain, "resume": self._resume}
+            "ready": self._ready,
+            "show-stat": self._show_stat,
+            "drain": self._drain,
+            "resume": self._resume,
+        }
         self.table |= {name: lambda why=why: failure(why) for name, why in OFF.items()} | dict(more or {})
         self._orders = orders or {}
         self._on = frozenset(more or ())
--- a/chutepin/admin/exposition.py
+++ b/chutepin/admin/exposition.py
@@ -17,8 +17,11 @@
 
 def exposition(figures: Figures) -> str:
     """All figures, one a line, each line ended."""
-    lines = [f'node_transactions_total{{group="{escaped(name)}",state="{state}"}} {getattr(row, state)}'
-             for name, row in figures.rows.items() for state in _STATES]
+    lines = [
+        f'node_transactions_total{{group="{escaped(name)}",state="{state}"}} {getattr(row, state)}'
+        for name, row in figures.rows.items()
+        for state in _STATES
+    ]
     lines += [f'node_withdrawn_total{{group="{escaped(name)}"}} {row.withdrawn}' for name, row in figures.rows.items()]
     lines += [f"node_sends_total {figures.sends}", f"node_current {figures.current}"]
     return "".join(f"{line}\n" for line in lines)
--- a/chutepin/admin/lines.py
+++ b/chutepin/admin/lines.py
@@ -19,7 +19,7 @@
         """Add what was read: the whole line without its end (LF, CR LF) and outer spaces, None until it is whole.
 
         Raises LineError for a line that is too long, empty or not ASCII."""
-        self._buffer += data[:MAX_LINE + 1 - len(self._buffer)]  # never holds more, whatever is fed
+        self._buffer += data[: MAX_LINE + 1 - len(self._buffer)]  # never holds more, whatever is fed
         line, end, _ = self._buffer.partition(b"\n")
         if not end:
             if len(self._buffer) >= MAX_LINE:
--- a/chutepin/admission/__init__.py
+++ b/chutepin/admission/__init__.py
@@ -11,5 +11,18 @@
 from .proxy import ProxyError, ProxyHead
 from .rules import Rank, Reason, Rules, Table, Use, Verdict
 
-__all__ = ["Acceptor", "Deadlines", "Ledger", "ProxyError", "ProxyHead", "Rank", "Reason", "Rules", "Share", "Table",
-           "Use", "Verdict", "Welcome"]
+__all__ = [
+    "Acceptor",
+    "Deadlines",
+    "Ledger",
+    "ProxyError",
+    "ProxyHead",
+    "Rank",
+    "Reason",
+    "Rules",
+    "Share",
+    "Table",
+    "Use",
+    "Verdict",
+    "Welcome",
+]
--- a/chutepin/admission/acceptor.py
+++ b/chutepin/admission/acceptor.py
@@ -26,8 +26,20 @@
 _NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 _NO_MEMORY = (errno.ENOBUFS, errno.ENOMEM)
 # The peer has gone, or its network has: accept(2) passes on errors of the new socket. The next one may be well.
-_PEER_GONE = (errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
-              errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.EPERM, errno.EINTR)
+_PEER_GONE = (
+    errno.ECONNABORTED,
+    errno.EPROTO,
+    errno.ENETDOWN,
+    errno.ENOPROTOOPT,
+    errno.EHOSTDOWN,
+    errno.ENONET,
+    errno.EHOSTUNREACH,
+    errno.EOPNOTSUPP,
+    errno.ENETUNREACH,
+    errno.ETIMEDOUT,
+    errno.EPERM,
+    errno.EINTR,
+)
 
 
 class Welcome(Enum):
--- a/chutepin/admission/addresses.py
+++ b/chutepin/admission/addresses.py
@@ -54,5 +54,7 @@
             self._by_length.setdefault((len(packed), bits), set()).add(block(packed, bits, bits))
 
     def __contains__(self, address: bytes) -> bool:
-        return any(size == len(address) and block(address, bits, bits) in known
-                   for (size, bits), known in self._by_length.items())
+        return any(
+            size == len(address) and block(address, bits, bits) in known
+            for (size, bits), known in self._by_length.items()
+        )
--- a/chutepin/admission/proxy.py
+++ b/chutepin/admission/proxy.py
@@ -42,8 +42,8 @@
             raise ProxyError("a head that is too long")
         if len(self._buffer) < HEAD + length:
             return
-        body = bytes(self._buffer[HEAD:HEAD + length])
-        self.rest = bytes(self._buffer[HEAD + length:])
+        body = bytes(self._buffer[HEAD : HEAD + length])
+        self.rest = bytes(self._buffer[HEAD + length :])
         self.address = self._source(command & 15, family, body)
         self.done = True
         self._buffer.clear()
--- a/chutepin/admission/rules.py
+++ b/chutepin/admission/rules.py
@@ -111,7 +111,8 @@
         # A heap for each rank and use, of what could be closed by when it spoke last. What has changed since it was
         # entered is known by its entry and dropped when it comes to the front.
         self._queues: dict[tuple[Rank, Use], list[tuple[float, int]]] = {
-            (rank, use): [] for rank in Rank for use in Use}
+            (rank, use): [] for rank in Rank for use in Use
+        }
         self._standing = Standing(0, 0, 0, 0)
         self.apply(rules)
 
@@ -308,9 +309,13 @@
         """Addresses and blocks of strangers with the most connections."""
         addresses = Counter({address: len(keys) for address, keys in self.by_address.items()}).most_common(most)
         rules = self.rules
-        return ([(show(address), count) for address, count in addresses],
-                [(show_block(name, rules.block_v4, rules.block_v6), count)
-                 for name, count in self.by_block.most_common(most)])
+        return (
+            [(show(address), count) for address, count in addresses],
+            [
+                (show_block(name, rules.block_v4, rules.block_v6), count)
+                for name, count in self.by_block.most_common(most)
+            ],
+        )
 
     def explain(self, now: float, address: bytes) -> list[tuple[str, str]]:
         """Which rules an address meets, and what each says of it now."""
@@ -324,20 +329,46 @@
         return [
             ("address", show(address)),
             ("block", show_block(name, rules.block_v4, rules.block_v6)),
-            ("rank", {Rank.LISTED: "listed by the operator", Rank.EARNED: "earned by sound requests",
-                      Rank.STRANGER: "stranger"}[rank]),
-            ("rate of its address", rule(known, rules.rate_address,
-                                         f"{rules.rate_address:g} a second, {rules.burst_address} at once")),
+            (
+                "rank",
+                {
+                    Rank.LISTED: "listed by the operator",
+                    Rank.EARNED: "earned by sound requests",
+                    Rank.STRANGER: "stranger",
+                }[rank],
+            ),
+            (
+                "rate of its address",
+                rule(known, rules.rate_address, f"{rules.rate_address:g} a second, {rules.burst_address} at once"),
+            ),
             ("cap of its address", rule(known, rules.per_address, f"{rules.per_address} connections")),
-            ("rate of its block", rule(stranger, rules.rate_block,
-                                       f"{rules.rate_block:g} a second, {rules.burst_block} at once")),
+            (
+                "rate of its block",
+                rule(stranger, rules.rate_block, f"{rules.rate_block:g} a second, {rules.burst_block} at once"),
+            ),
             ("cap of its block", rule(stranger, rules.per_block, f"{rules.per_block} connections")),
-            ("share of the new", rule(stranger, rules.new_share < 1,
-                                      f"{max(1, int(rules.new_share * self.limit))} connections of strangers that have "
-                                      "not sent a sound request")),
-            ("table", f"{self.limit} connections" if not stranger else
-             f"{self.limit - self.reserved} of {self.limit} connections, the rest is kept for the known"),
-            ("earning", rule(known, rules.earn_requests,
-                             f"{rules.earn_requests} sound requests over {rules.earn_over:g} s, the first on each "
-                             f"connection not counted; kept for {rules.earned_age:g} s")),
+            (
+                "share of the new",
+                rule(
+                    stranger,
+                    rules.new_share < 1,
+                    f"{max(1, int(rules.new_share * self.limit))} connections of strangers that have "
+                    "not sent a sound request",
+                ),
+            ),
+            (
+                "table",
+                f"{self.limit} connections"
+                if not stranger
+                else f"{self.limit - self.reserved} of {self.limit} connections, the rest is kept for the known",
+            ),
+            (
+                "earning",
+                rule(
+                    known,
+                    rules.earn_requests,
+                    f"{rules.earn_requests} sound requests over {rules.earn_over:g} s, the first on each "
+                    f"connection not counted; kept for {rules.earned_age:g} s",
+                ),
+            ),
         ]
--- a/chutepin/agree/__init__.py
+++ b/chutepin/agree/__init__.py
@@ -6,5 +6,22 @@
 from .core import Core, Durable, Progress, RefusedError, Role, Times
 from .messages import Apply, Effect, Entry, Kind, Message, Persist, Readable, Restore, Send, Snapshot, Voters
 
-__all__ = ["Apply", "Core", "Durable", "Effect", "Entry", "Kind", "Message", "Persist", "Progress", "Readable",
-           "RefusedError", "Restore", "Role", "Send", "Snapshot", "Times", "Voters"]
+__all__ = [
+    "Apply",
+    "Core",
+    "Durable",
+    "Effect",
+    "Entry",
+    "Kind",
+    "Message",
+    "Persist",
+    "Progress",
+    "Readable",
+    "RefusedError",
+    "Restore",
+    "Role",
+    "Send",
+    "Snapshot",
+    "Times",
+    "Voters",
+]
--- a/chutepin/agree/codec.py
+++ b/chutepin/agree/codec.py
@@ -37,8 +37,25 @@
 
 Said = Word | Hello | Meet | Met
 
-WORDS: tuple[type[Any], ...] = (Hello, Ask, Vote, Append, Appended, Piece, Taken, Begin, Forward, Rejected, ReadAsk,
-                                ReadAt, Pull, Feed, Meet, Met, Greet)
+WORDS: tuple[type[Any], ...] = (
+    Hello,
+    Ask,
+    Vote,
+    Append,
+    Appended,
+    Piece,
+    Taken,
+    Begin,
+    Forward,
+    Rejected,
+    ReadAsk,
+    ReadAt,
+    Pull,
+    Feed,
+    Meet,
+    Met,
+    Greet,
+)
 
 
 class CodecError(ValueError):
@@ -62,6 +79,7 @@
         if type(raw) is not kind:
             raise CodecError("malformed")
         return raw
+
     return read
 
 
@@ -77,8 +95,13 @@
 
 
 _READERS: dict[Any, Callable[[Any], Any]] = {
-    int: _whole, str: _text, bytes: _exactly(bytes), bool: _exactly(bool), tuple[Entry, ...]: _entries,
-    Voters: _members}
+    int: _whole,
+    str: _text,
+    bytes: _exactly(bytes),
+    bool: _exactly(bool),
+    tuple[Entry, ...]: _entries,
+    Voters: _members,
+}
 _FIELDS = {word: tuple(_READERS[kind] for kind in get_type_hints(word).values()) for word in WORDS}
 
 
@@ -129,7 +152,7 @@
             end = at + _HEAD.size + length
             if len(self._buffer) < end:
                 break
-            content = bytes(self._buffer[at + _HEAD.size:end])
+            content = bytes(self._buffer[at + _HEAD.size : end])
             if zlib.crc32(content) != check:
                 raise CodecError("checksum")
             words.append(decode(content))
--- a/chutepin/agree/core.py
+++ b/chutepin/agree/core.py
@@ -76,10 +76,10 @@
                 self.entries, self.base, self.base_term = [], change.snapshot.upto, change.snapshot.term
             elif change.base > self.base:
                 self.base_term = self.entries[change.base - self.base - 1].term
-                del self.entries[:change.base - self.base]
+                del self.entries[: change.base - self.base]
                 self.base = change.base
         if change.entries:
-            self.entries[change.first - self.base - 1:] = change.entries
+            self.entries[change.first - self.base - 1 :] = change.entries
 
 
 @dataclass(slots=True)
@@ -113,8 +113,9 @@
 class Core:
     """One member."""
 
-    def __init__(self, name: str, first: Voters, durable: Durable, now: float, rng: random.Random,
-                 times: Times = Times()) -> None:
+    def __init__(
+        self, name: str, first: Voters, durable: Durable, now: float, rng: random.Random, times: Times = Times()
+    ) -> None:
         """`first`: who votes before any entry says otherwise; the same on all. `durable` is read, not kept."""
         self.name, self._first, self._rng, self._times = name, first, rng, times
         self.term, self.vote = durable.term, durable.vote
@@ -161,12 +162,12 @@
         return self.log[index - self.base - 1].term if self.base < index <= self.last else 0
 
     def _from(self, index: int) -> list[Entry]:
-        return self.log[index - self.base - 1:]
+        return self.log[index - self.base - 1 :]
 
     def _cut_to(self, first: int, entries: tuple[Entry, ...]) -> None:
         """Replace the log from an index on."""
         self.size += sum(map(_cost, entries)) - sum(map(_cost, self._from(first)))
-        self.log[first - self.base - 1:] = entries
+        self.log[first - self.base - 1 :] = entries
 
     def lag(self, name: str) -> int:
         """Entries that a member lacks, as far as the leader knows."""
@@ -242,7 +243,8 @@
         if isinstance(message, Ask) and self._ignores(now, sender, message):
             return
         raises = not (isinstance(message, Ask) and message.pre) and not (
-            isinstance(message, Vote) and message.pre and message.granted)
+            isinstance(message, Vote) and message.pre and message.granted
+        )
         if message.term > self.term and raises:
             self._follow(now, message.term, "")
         match message:
@@ -279,8 +281,9 @@
         return leads or (self.leader != "" and now < self.heard_leader + self._times.election)
 
     def _hears_majority(self, now: float) -> bool:
-        heard = sum(name == self.name or self._progress[name].heard > now - self._times.election
-                    for name in self.members.voters)
+        heard = sum(
+            name == self.name or self._progress[name].heard > now - self._times.election for name in self.members.voters
+        )
         return heard >= self._majority()
 
     def _follow(self, now: float, term: int, leader: str) -> None:
@@ -312,8 +315,14 @@
     def _asked(self, now: float, sender: str, ask: Ask) -> None:
         upto_date = (ask.last_term, ask.last_index) >= (self.term_at(self.last), self.last)
         if ask.pre:
-            self._say(sender, Vote(ask.term if upto_date and ask.term > self.term else self.term, True,
-                                   upto_date and ask.term > self.term))
+            self._say(
+                sender,
+                Vote(
+                    ask.term if upto_date and ask.term > self.term else self.term,
+                    True,
+                    upto_date and ask.term > self.term,
+                ),
+            )
             return
         granted = ask.term == self.term and self.vote in ("", sender) and upto_date and self.role is Role.FOLLOWER
         if granted and self.vote != sender:
@@ -356,7 +365,7 @@
         return self._members_at(self.last)
 
     def _members_at(self, index: int) -> Voters:
-        for entry in reversed(self.log[:max(0, index - self.base)]):
+        for entry in reversed(self.log[: max(0, index - self.base)]):
             if entry.members is not None:
                 return entry.members
         return self.snapshot.members if self.snapshot is not None else self._first
@@ -406,8 +415,12 @@
             return
         while (part := self._next_part(progress)) or beat:
             entries, size = part or ((), 0)
-            self._say(name, Append(self.term, progress.next - 1, self.term_at(progress.next - 1), entries,
-                                   self.commit, self._round))
+            self._say(
+                name,
+                Append(
+                    self.term, progress.next - 1, self.term_at(progress.next - 1), entries, self.commit, self._round
+                ),
+            )
             progress.told, beat = self.commit, False
             if entries:
                 progress.flying.append((entries[-1].index, size))
@@ -449,7 +462,7 @@
         for entry in message.entries:
             if entry.index > self.base and self.term_at(entry.index) != entry.term:
                 assert entry.index > self.commit, "an agreed entry would be replaced"
-                self._cut_to(entry.index, message.entries[entry.index - prev - 1:])
+                self._cut_to(entry.index, message.entries[entry.index - prev - 1 :])
                 self.members = self._members_of_log()
                 self._persist(entry.index)
                 break
@@ -483,7 +496,8 @@
         if agreed > self.commit and self.term_at(agreed) == self.term:
             self._commit(agreed)
             if self.name not in self.members.voters and not any(
-                    entry.kind is Kind.VOTERS for entry in self._from(self.commit + 1)):
+                entry.kind is Kind.VOTERS for entry in self._from(self.commit + 1)
+            ):
                 self._beat()  # the others hear that it is agreed; then it steps down
                 self._election_at = -math.inf
 
@@ -491,7 +505,7 @@
         if index <= self.commit:
             return
         self.commit = index
-        entries = tuple(self._from(self.applied + 1)[:index - self.applied])
+        entries = tuple(self._from(self.applied + 1)[: index - self.applied])
         self.since += sum(map(_cost, entries))
         self._effects.append(Apply(entries))
         self.applied = index
@@ -507,16 +521,16 @@
         base = min(self._kept_from(), self._wanted_from(now))
         self.snapshot, self.since = snapshot, 0
         base_term = self.term_at(base)
-        gone = self.log[:base - self.base]
+        gone = self.log[: base - self.base]
         self.size -= sum(map(_cost, gone))
-        del self.log[:len(gone)]
+        del self.log[: len(gone)]
         self.base, self.base_term = base, base_term
         self._effects.append(Persist(self.term, self.vote, 0, (), snapshot, base))
 
     def _kept_from(self) -> int:
         """The base that leaves as much of the log as is kept in any case."""
         base, size = self.applied, sum(map(_cost, self._from(self.applied + 1)))
-        for entry in reversed(self.log[:self.applied - self.base]):
+        for entry in reversed(self.log[: self.applied - self.base]):
             size += _cost(entry)
             if size > self._times.kept:
                 break
@@ -550,8 +564,20 @@
             progress.piece = (upto, 0)
         offset = progress.piece[1]
         progress.sent = True
-        self._say(name, Piece(self.term, upto, term, members, len(data), zlib.crc32(data), offset,
-                              data[offset:offset + self._times.piece], self._round))
+        self._say(
+            name,
+            Piece(
+                self.term,
+                upto,
+                term,
+                members,
+                len(data),
+                zlib.crc32(data),
+                offset,
+                data[offset : offset + self._times.piece],
+                self._round,
+            ),
+        )
 
     def _piece(self, now: float, sender: str, message: Piece) -> None:
         if message.term < self.term:
@@ -568,7 +594,7 @@
             self._incoming = (which, bytearray())
         data = self._incoming[1]
         if message.offset <= len(data):
-            data[message.offset:] = message.data
+            data[message.offset :] = message.data
         if len(data) < message.total:
             self._say(sender, Taken(self.term, message.upto, len(data), message.round))
             return
@@ -606,8 +632,9 @@
         """A majority has answered a round that began after the read was asked for: nobody else led before that."""
         if not self._reads:
             return
-        rounds = sorted(self._round if name == self.name else self._progress[name].round
-                        for name in self.members.voters)
+        rounds = sorted(
+            self._round if name == self.name else self._progress[name].round for name in self.members.voters
+        )
         sure = rounds[len(rounds) - self._majority()]
         for id, index, round in self._reads:
             if round <= sure:
--- a/chutepin/agree/identity.py
+++ b/chutepin/agree/identity.py
@@ -36,8 +36,9 @@
 class Identity:
     """Of one node. `standing`, `born` and `met` are durable; the edge keeps them where `changed` says so."""
 
-    def __init__(self, name: str, voters: tuple[str, ...], born: str, standing: Standing | None,
-                 met: dict[str, str]) -> None:
+    def __init__(
+        self, name: str, voters: tuple[str, ...], born: str, standing: Standing | None, met: dict[str, str]
+    ) -> None:
         """`standing`: as it was kept, None of a new store. `met`: other voters' numbers."""
         self._name, self._voters, self.born, self.met = name, voters, born, met
         if standing is None:
--- a/chutepin/agree/journal.py
+++ b/chutepin/agree/journal.py
@@ -38,8 +38,13 @@
 
 def pack_entry(entry: Entry) -> list[Any]:
     """As a list of plain values."""
-    return [entry.index, entry.term, int(entry.kind), entry.data,
-            None if entry.members is None else [list(names) for names in entry.members]]
+    return [
+        entry.index,
+        entry.term,
+        int(entry.kind),
+        entry.data,
+        None if entry.members is None else [list(names) for names in entry.members],
+    ]
 
 
 def unpack_members(raw: list[list[str]]) -> Voters:
@@ -87,10 +92,17 @@
             first = last = snapshot.upto + 1
             self._last = snapshot.upto
         old, pieces = self._snapshot, self._pieces
-        parts = [snapshot.data[at:at + PIECE] for at in range(0, len(snapshot.data), PIECE)]
+        parts = [snapshot.data[at : at + PIECE] for at in range(0, len(snapshot.data), PIECE)]
         done += [(piece_key(snapshot.upto, number), part) for number, part in enumerate(parts)]
-        head = [snapshot.upto, snapshot.term, [list(names) for names in snapshot.members], len(parts),
-                zlib.crc32(snapshot.data), first, [self._first, old.upto if old is not None else 0, pieces]]
+        head = [
+            snapshot.upto,
+            snapshot.term,
+            [list(names) for names in snapshot.members],
+            len(parts),
+            zlib.crc32(snapshot.data),
+            first,
+            [self._first, old.upto if old is not None else 0, pieces],
+        ]
         done.append((HEAD, bytes(msgpack.packb(head))))
         done += self._leftover(self._first, first, old.upto if old is not None else 0, pieces)
         self._first, self._snapshot, self._pieces = first, snapshot, len(parts)
--- a/chutepin/agree/member.py
+++ b/chutepin/agree/member.py
@@ -108,8 +108,9 @@
 class Member:
     """One node."""
 
-    def __init__(self, name: str, first: Voters, durable: Durable, machine: Machine, now: float, rng: random.Random,
-                 times: Times) -> None:
+    def __init__(
+        self, name: str, first: Voters, durable: Durable, machine: Machine, now: float, rng: random.Random, times: Times
+    ) -> None:
         """`durable` is what the journal holds; `first` who votes before the log says otherwise."""
         self.name, self._times, self._rng = name, times, rng
         self.core = Core(name, first, durable, now, rng, times)
@@ -141,8 +142,13 @@
         at = min(self.core.wake_at() if self._active else math.inf, self.subscribers.wake_at())
         if not self.votes or self._orphaned:
             at = min(at, self.observer.wake_at())
-        return min((at, *(min(waiting.by, waiting.next) for waiting in self._proposed.values()),
-                    *(min(waiting.by, waiting.next) for waiting in self._reads.values())))
+        return min(
+            (
+                at,
+                *(min(waiting.by, waiting.next) for waiting in self._proposed.values()),
+                *(min(waiting.by, waiting.next) for waiting in self._reads.values()),
+            )
+        )
 
     @property
     def votes(self) -> bool:
@@ -265,8 +271,11 @@
         self._was = core.role, core.term, leader
         if self.members != self._members:
             self._members = self.members
-            self._effects.append(Tell("members", {"voters": ",".join(self._members.voters),
-                                                  "learners": ",".join(self._members.learners)}))
+            self._effects.append(
+                Tell(
+                    "members", {"voters": ",".join(self._members.voters), "learners": ",".join(self._members.learners)}
+                )
+            )
 
     # --- the state ---
 
@@ -304,8 +313,17 @@
         """For a proposal that is made now."""
         return new_id(self.replica.applied, self._rng.getrandbits(64))
 
-    def propose(self, now: float, id: bytes, data: bytes, by: float, version: int = 1, *, repeated: bool = False,
-                void: bool = False) -> int:
+    def propose(
+        self,
+        now: float,
+        id: bytes,
+        data: bytes,
+        by: float,
+        version: int = 1,
+        *,
+        repeated: bool = False,
+        void: bool = False,
+    ) -> int:
         """Have something agreed. `repeated`: it was proposed before under this id, and may have been agreed; it counts
         once. `void`: make sure that the one with this id never comes, if it has not yet. The ticket; its `Answer` comes
         by `by` (unknown then), or at once where nothing can be done."""
@@ -388,8 +406,9 @@
         for number, read in list(self._reads.items()):
             if now >= read.by:
                 del self._reads[number]
-                self._answer(read.ticket, Outcome(State.REFUSED, why="no leader answered in time",
-                                                  again=self._times.election))
+                self._answer(
+                    read.ticket, Outcome(State.REFUSED, why="no leader answered in time", again=self._times.election)
+                )
             elif now >= read.next:
                 read.next = now + self._later()
                 if read.upto < 0:
@@ -453,8 +472,17 @@
     def _feed(self, now: float) -> None:
         """Tell those that asked what is new."""
         fresh = now if self.core.role is Role.LEADER else self.core.heard_leader if self.votes else self.observer.fresh
-        for to, feed in self.subscribers.feeds(now, self.core, self.observer, self.replica.applied, self.leader, fresh,
-                                               0 if self.votes else self.observer.depth, self._state, self.members):
+        for to, feed in self.subscribers.feeds(
+            now,
+            self.core,
+            self.observer,
+            self.replica.applied,
+            self.leader,
+            fresh,
+            0 if self.votes else self.observer.depth,
+            self._state,
+            self.members,
+        ):
             self._effects.append(Send(to, feed))
 
     def _state(self) -> Snapshot:
--- a/chutepin/agree/observer.py
+++ b/chutepin/agree/observer.py
@@ -120,7 +120,7 @@
             self._incoming = (which, bytearray())
         data = self._incoming[1]
         if feed.offset <= len(data):
-            data[feed.offset:] = feed.data
+            data[feed.offset :] = feed.data
         if len(data) < feed.total:
             return None
         self._incoming = None
@@ -152,8 +152,18 @@
             return
         self._waiting[sender] = (now + self._hold, pull)
 
-    def feeds(self, now: float, core: Core, observer: Observer, applied: int, leader: str, fresh: float,
-              depth: int, make: Callable[[], Snapshot], members: Voters) -> Iterator[tuple[str, Feed]]:
+    def feeds(
+        self,
+        now: float,
+        core: Core,
+        observer: Observer,
+        applied: int,
+        leader: str,
+        fresh: float,
+        depth: int,
+        make: Callable[[], Snapshot],
+        members: Voters,
+    ) -> Iterator[tuple[str, Feed]]:
         """Answers that are due. `make`: the state of now, for one that lacks more than is kept here."""
         if not self._waiting:
             return
@@ -167,8 +177,18 @@
                 continue
             yield name, self._answer(core, observer, pull, applied, leader, age, depth, make, members)
 
-    def _answer(self, core: Core, observer: Observer, pull: Pull, applied: int, leader: str, age: int,
-                depth: int, make: Callable[[], Snapshot], members: Voters) -> Feed:
+    def _answer(
+        self,
+        core: Core,
+        observer: Observer,
+        pull: Pull,
+        applied: int,
+        leader: str,
+        age: int,
+        depth: int,
+        make: Callable[[], Snapshot],
+        members: Voters,
+    ) -> Feed:
         entries, size = list[Entry](), 0
         # What others have told beyond what this member's log knows to be agreed: its own entries there may be others.
         follows = core.commit < applied
@@ -183,10 +203,20 @@
         if entries or applied <= pull.applied:
             return Feed(*head, 0, 0, 0, 0, 0, b"")
         snapshot = self._offered
-        if snapshot is None or snapshot.upto <= pull.applied or (
-                snapshot.upto < core.base if not follows else pull.upto != snapshot.upto):
+        if (
+            snapshot is None
+            or snapshot.upto <= pull.applied
+            or (snapshot.upto < core.base if not follows else pull.upto != snapshot.upto)
+        ):
             newest = core.snapshot if not follows else None
             snapshot = self._offered = newest if newest is not None and newest.upto > pull.applied else make()
         offset = pull.offset if pull.upto == snapshot.upto else 0
-        return Feed(*head, snapshot.upto, snapshot.term, len(snapshot.data),
-                    zlib.crc32(snapshot.data), offset, snapshot.data[offset:offset + self._piece])
+        return Feed(
+            *head,
+            snapshot.upto,
+            snapshot.term,
+            len(snapshot.data),
+            zlib.crc32(snapshot.data),
+            offset,
+            snapshot.data[offset : offset + self._piece],
+        )
--- a/chutepin/agree/replica.py
+++ b/chutepin/agree/replica.py
@@ -108,8 +108,9 @@
             if entry.index != self.applied + 1:
                 continue
             self.applied = entry.index
-            self.chain = hashlib.blake2b(self.chain + b"%d %d " % (entry.index, entry.kind) + entry.data,
-                                         digest_size=8).digest()
+            self.chain = hashlib.blake2b(
+                self.chain + b"%d %d " % (entry.index, entry.kind) + entry.data, digest_size=8
+            ).digest()
             if entry.members is not None:
                 self.members = entry.members
             if entry.kind is Kind.PROPOSAL:
@@ -156,8 +157,9 @@
             return False
         form, chain, known, version, state = msgpack.unpackb(snapshot.data)
         if form != FORMAT or version > self.machine.version:
-            raise ValueError(f"a state of format {form}, version {version}; this program knows {FORMAT}, "
-                             f"{self.machine.version}")
+            raise ValueError(
+                f"a state of format {form}, version {version}; this program knows {FORMAT}, {self.machine.version}"
+            )
         self.machine.restore(version, state)
         self._known = {id: _Known(at, agreed, answer) for id, at, agreed, answer in known}
         self.applied, self.chain, self.members = snapshot.upto, chain, snapshot.members
--- a/chutepin/agree/subsystem.py
+++ b/chutepin/agree/subsystem.py
@@ -35,8 +35,9 @@
 class Agreement:
     """This node's part in the log in common (`subsystem.Subsystem`)."""
 
-    def __init__(self, setup: AgreeSetup, name: str, links: Links, store: Store, ledger: Ledger, counters: Counters,
-                 log: Log) -> None:
+    def __init__(
+        self, setup: AgreeSetup, name: str, links: Links, store: Store, ledger: Ledger, counters: Counters, log: Log
+    ) -> None:
         self._setup, self._name, self._links, self._store = setup, name, links, store
         # Not the configuration's seed: ids of proposals must not come again after a restart.
         self._counters, self._log, self._rng = counters, log, random.Random(random.SystemRandom().getrandbits(64))
@@ -68,14 +69,18 @@
             return Identity(self._name, self._setup.voters, born, None, met)
         cluster, name, born, standing = msgpack.unpackb(raw)
         if (cluster, name) != (self._links.cluster, self._name):
-            raise ConfigError(f"store.directory: the log in it is that of {name} in cluster {cluster}, not of "
-                              f"{self._name} in {self._links.cluster}")
+            raise ConfigError(
+                f"store.directory: the log in it is that of {name} in cluster {cluster}, not of "
+                f"{self._name} in {self._links.cluster}"
+            )
         return Identity(self._name, self._setup.voters, born, Standing(standing), met)
 
     def _who(self) -> list[Operation]:
         who = self._identity
-        return [(WHO, bytes(msgpack.packb([self._links.cluster, self._name, who.born, who.standing.value]))),
-                (MET, bytes(msgpack.packb(who.met)))]
+        return [
+            (WHO, bytes(msgpack.packb([self._links.cluster, self._name, who.born, who.standing.value]))),
+            (MET, bytes(msgpack.packb(who.met))),
+        ]
 
     def _hello(self, to: str) -> Hello:
         return Hello(self._links.cluster, self._name, self._identity.identity, plain(to), self.machine.version)
@@ -128,8 +133,12 @@
         if member is None:
             return {"agree.member": 0}
         return {f"agree.{name}": count for name, count in sorted(member.counts.items())} | {
-            "agree.member": 1, "agree.term": member.core.term, "agree.applied": member.replica.applied,
-            "agree.doubles": member.replica.doubles, "agree.log_bytes": member.core.size}
+            "agree.member": 1,
+            "agree.term": member.core.term,
+            "agree.applied": member.replica.applied,
+            "agree.doubles": member.replica.doubles,
+            "agree.log_bytes": member.core.size,
+        }
 
     # --- life ---
 
@@ -155,8 +164,13 @@
         self.machine = Facts()
         first = Voters(self._setup.voters)
         self._member = Member(self._identity.identity, first, durable, self.machine, now(), self._rng, self._times)
-        self._log.event("agree.takes_part", identity=self._identity.identity, term=durable.term,
-                        applied=self._member.replica.applied, standing=self._identity.standing.value)
+        self._log.event(
+            "agree.takes_part",
+            identity=self._identity.identity,
+            term=durable.term,
+            applied=self._member.replica.applied,
+            standing=self._identity.standing.value,
+        )
         self._pump()
 
     def _halt(self, why: str) -> None:
@@ -202,8 +216,9 @@
             while (member := self._member) is not None and (self._queue or self._collect(member)):
                 self._collect(member)
                 queue, self._queue = self._queue, []
-                operations = [part for effect in queue if isinstance(effect, Persist)
-                              for part in self._journal.write(effect)]
+                operations = [
+                    part for effect in queue if isinstance(effect, Persist) for part in self._journal.write(effect)
+                ]
                 if operations:
                     await self._durable(operations)
                 for effect in queue:
@@ -272,8 +287,9 @@
     def _met(self, hello: Hello, word: Meet | Met) -> None:
         if isinstance(word, Met):
             if self._identity.answered(hello.name, word):
-                self._log.event("agree.standing", standing=self._identity.standing.value,
-                                identity=self._identity.identity)
+                self._log.event(
+                    "agree.standing", standing=self._identity.standing.value, identity=self._identity.identity
+                )
                 self._more.set()
             return
         new = hello.name not in self._identity.met
@@ -317,24 +333,40 @@
 
     def orders(self) -> dict[str, Order]:
         """What they may call with words."""
-        return {"agree-set": _words(2, 3, self._set), "agree-get": _words(1, 1, self._get),
-                "agree-ask": _words(1, 1, self._ask), "agree-void": _words(1, 1, self._void),
-                "agree-add": _words(1, 2, self._add), "agree-remove": _words(1, 1, self._remove),
-                "agree-transfer": _words(1, 1, self._transfer), "agree-snapshot": _words(0, 0, self._snapshot)}
+        return {
+            "agree-set": _words(2, 3, self._set),
+            "agree-get": _words(1, 1, self._get),
+            "agree-ask": _words(1, 1, self._ask),
+            "agree-void": _words(1, 1, self._void),
+            "agree-add": _words(1, 2, self._add),
+            "agree-remove": _words(1, 1, self._remove),
+            "agree-transfer": _words(1, 1, self._transfer),
+            "agree-snapshot": _words(0, 0, self._snapshot),
+        }
 
     def _status(self) -> str:
         member = self._member
         if member is None:
             return f"FAILURE takes no part: {self._why}\n"
         core = member.core
-        lines = [f"identity {member.name}", f"standing {self._identity.standing.value}",
-                 f"role {core.role.name.lower() if member.votes else 'observer'}", f"term {core.term}",
-                 f"leader {plain(member.leader) or '-'}", f"commit {core.commit}", f"applied {member.replica.applied}",
-                 f"chain {member.replica.chain.hex()}",
-                 f"log-bytes {core.size}", f"snapshot {core.snapshot.upto if core.snapshot is not None else 0}",
-                 f"follows {plain(member.observer.upstream) or '-'}" if not member.votes else "follows -"]
-        lines += [f"{'voter' if name in member.members.voters else 'learner'} {name} lag "
-                  f"{core.lag(name) if core.role is Role.LEADER else '-'}" for name in member.members.everybody]
+        lines = [
+            f"identity {member.name}",
+            f"standing {self._identity.standing.value}",
+            f"role {core.role.name.lower() if member.votes else 'observer'}",
+            f"term {core.term}",
+            f"leader {plain(member.leader) or '-'}",
+            f"commit {core.commit}",
+            f"applied {member.replica.applied}",
+            f"chain {member.replica.chain.hex()}",
+            f"log-bytes {core.size}",
+            f"snapshot {core.snapshot.upto if core.snapshot is not None else 0}",
+            f"follows {plain(member.observer.upstream) or '-'}" if not member.votes else "follows -",
+        ]
+        lines += [
+            f"{'voter' if name in member.members.voters else 'learner'} {name} lag "
+            f"{core.lag(name) if core.role is Role.LEADER else '-'}"
+            for name in member.members.everybody
+        ]
         return "\n".join(["SUCCESS", *lines, "EOT"]) + "\n"
 
     async def _set(self, words: list[str]) -> str:
@@ -344,8 +376,12 @@
 
     async def _proposed(self, known: bytes | None, data: bytes, void: bool) -> str:
         id = known or (self._member.new_id() if self._member is not None else bytes(16))
-        return _told(id, await self._ticket(lambda member: member.propose(
-            now(), id, data, now() + CALL_BY, repeated=known is not None, void=void)))
+        return _told(
+            id,
+            await self._ticket(
+                lambda member: member.propose(now(), id, data, now() + CALL_BY, repeated=known is not None, void=void)
+            ),
+        )
 
     async def _void(self, words: list[str]) -> str:
         return await self._proposed(bytes.fromhex(words[0]), b"", True)
@@ -356,8 +392,11 @@
         read = await self._ticket(lambda member: member.read(now(), now() + CALL_BY))
         if read.state is not State.AGREED or self._member is None:
             return _told(id, Outcome(State.UNKNOWN, why=read.why, again=read.again))
-        return _told(id, self._member.replica.outcome(id) or Outcome(
-            State.UNKNOWN, why=f"not agreed up to {read.at}; agree-void makes sure"))
+        return _told(
+            id,
+            self._member.replica.outcome(id)
+            or Outcome(State.UNKNOWN, why=f"not agreed up to {read.at}; agree-void makes sure"),
+        )
 
     async def _get(self, words: list[str]) -> str:
         read = await self._ticket(lambda member: member.read(now(), now() + CALL_BY))
@@ -429,6 +468,7 @@
 
 def _words(least: int, most: int, order: Callable[[list[str]], Awaitable[str]]) -> Order:
     """An order that takes so many words."""
+
     async def checked(words: list[str]) -> str:
         if not least <= len(words) <= most:
             return f"FAILURE takes {least} to {most} words\n"
@@ -436,5 +476,5 @@
             return await order(words)
         except ValueError as error:
             return f"FAILURE {error}\n"
-    return checked
 
+    return checked
--- a/chutepin/agree/wire.py
+++ b/chutepin/agree/wire.py
@@ -63,8 +63,14 @@
 class Wire:
     """All connections of one member."""
 
-    def __init__(self, links: Links, hello: Callable[[str], Hello], deliver: Callable[[Hello, Said], None],
-                 ledger: Ledger, counters: Counters) -> None:
+    def __init__(
+        self,
+        links: Links,
+        hello: Callable[[str], Hello],
+        deliver: Callable[[Hello, Said], None],
+        ledger: Ledger,
+        counters: Counters,
+    ) -> None:
         """`hello` is what a connection to a member begins with; `deliver` takes a word and who said it."""
         self._links, self._hello, self._deliver = links, hello, deliver
         self._ledger, self._counters = ledger, counters
--- a/chutepin/broker.py
+++ b/chutepin/broker.py
@@ -144,8 +144,18 @@
 class Broker:
     """One node. The fronts call `pick` and `gone`, the links the methods below them, the alarm `tick`."""
 
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock, counters: Counters, log: Log,
-                 executor: Executor, records: Records, alarm: Alarm, memory: int) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Clock,
+        counters: Counters,
+        log: Log,
+        executor: Executor,
+        records: Records,
+        alarm: Alarm,
+        memory: int,
+    ) -> None:
         self.keys = Table(int(memory * KEYS_PART))
         self._clock, self._counters, self._log = clock, counters, log
         self._executor, self._records, self._alarm = executor, records, alarm
@@ -212,8 +222,11 @@
         if cls is not None and (request.due == math.inf or (not self._dues_told and request.due == request.arrived)):
             request.due = request.arrived + cls.deadline
         # Times that no caller can mean; what is only late passes, and is answered as late.
-        sane = cls is not None and request.arrived < now + AHEAD and (
-            0 < request.due - request.arrived < cls.deadline + AHEAD)
+        sane = (
+            cls is not None
+            and request.arrived < now + AHEAD
+            and (0 < request.due - request.arrived < cls.deadline + AHEAD)
+        )
         if cls is None or not known or not sane or request.id in self._attempts:
             # The module takes no class that it was not told of and no id twice; neither is a caller's right.
             self._counters.add("requests.malformed")
@@ -225,8 +238,7 @@
             self._counters.add("requests.malformed")
             self._answer_now(request.cls, caller, Answer(Verdict.FAILED, value=self._value))
             return
-        full = len(self._attempts) >= MAX_REQUESTS or (
-            cls.repeat is Repeat.KEYED and entry is None and self.keys.full)
+        full = len(self._attempts) >= MAX_REQUESTS or (cls.repeat is Repeat.KEYED and entry is None and self.keys.full)
         if not self._started or full or (cls.repeat is Repeat.KEYED and request.key is None):
             # Before the executor is up nothing can run; a full table could not keep a run from being
             # repeated; without a key nothing tells a repeat.
@@ -253,9 +265,18 @@
         """Let the module decide about a request."""
         request, now = attempt.request, self._clock.now()
         offer = Offer(
-            request.id, request.cls, request.tenant, request.subject, request.arrived, request.due,
-            request.size, request.rank, request.caller, request.again,
-            (entry.ran or entry.holder) if entry else None)
+            request.id,
+            request.cls,
+            request.tenant,
+            request.subject,
+            request.arrived,
+            request.due,
+            request.size,
+            request.rank,
+            request.caller,
+            request.again,
+            (entry.ran or entry.holder) if entry else None,
+        )
         self._settle(lambda: self._facade.pick(now, offer))
         if request.id in self._attempts:
             deadline = self._classes[request.cls].deadline
@@ -388,9 +409,14 @@
             self._records.give_up(id)
         self._key_ended(attempt, end, result)
         if end in (End.OK, End.ERROR):
-            self._answer(attempt, Answer(
-                Verdict.SERVED if end is End.OK else Verdict.FAILED, result if end is End.OK else b"",
-                value=self._value))
+            self._answer(
+                attempt,
+                Answer(
+                    Verdict.SERVED if end is End.OK else Verdict.FAILED,
+                    result if end is End.OK else b"",
+                    value=self._value,
+                ),
+            )
         # Reported before it is forgotten: after a cancelled run the module itself fails what is still owed.
         self._report(RunEnded(id, end, elapsed))
         self._forget(id)
@@ -477,12 +503,18 @@
     def _fire(self) -> None:
         due, self._metered = self._metered, []
         for token in due:
-            self._settle(lambda token=token: self._facade.tick(  # type: ignore[misc]
-                self._clock.now(), token, self._gauges))
+            self._settle(
+                lambda token=token: self._facade.tick(  # type: ignore[misc]
+                    self._clock.now(), token, self._gauges
+                )
+            )
 
     def _arm(self) -> None:
-        at = min(self._timers[0][0] if self._timers else math.inf, self._clock.now() + 1.0,
-                 self._dues[0][0] if self._dues else math.inf)
+        at = min(
+            self._timers[0][0] if self._timers else math.inf,
+            self._clock.now() + 1.0,
+            self._dues[0][0] if self._dues else math.inf,
+        )
         if self._drain_stop is not None and self._attempts:
             at = min(at, max(self._clock.now() + 0.01, self._drain_stop + OVERDUE / 2))
         self._alarm.set(min(at, self._meter_until) if self._metered else at)
@@ -686,8 +718,7 @@
         if attempt is None or not attempt.owed:
             return
         self._counters.add("answers.shared")
-        self._answer(attempt, Answer(
-            Verdict.SERVED if end is End.OK else Verdict.FAILED, result, value=self._value))
+        self._answer(attempt, Answer(Verdict.SERVED if end is End.OK else Verdict.FAILED, result, value=self._value))
         self._reports.append(RunEnded(id, end))
 
     def _sweep(self, now: float) -> None:
--- a/chutepin/cli/__init__.py
+++ b/chutepin/cli/__init__.py
@@ -10,8 +10,15 @@
 from ..ops import say
 
 # A command to its module here.
-COMMANDS = {"node": "node", "demo": "demo", "store": "store", "admission": "admission", "cluster": "cluster",
-            "agree": "agree", "lab": "lab"}
+COMMANDS = {
+    "node": "node",
+    "demo": "demo",
+    "store": "store",
+    "admission": "admission",
+    "cluster": "cluster",
+    "agree": "agree",
+    "lab": "lab",
+}
 
 
 class LazyGroup(click.Group):
--- a/chutepin/cli/admission.py
+++ b/chutepin/cli/admission.py
@@ -20,8 +20,13 @@
 @command.command()
 @click.argument("file")
 @click.argument("address")
-@click.option("--limit", type=click.IntRange(1), default=512, show_default=True,
-              help="Connections in the table: half of the descriptors.")
+@click.option(
+    "--limit",
+    type=click.IntRange(1),
+    default=512,
+    show_default=True,
+    help="Connections in the table: half of the descriptors.",
+)
 @click.option("--json", "json_asked", is_flag=True, help="Print JSON also on a terminal.")
 def explain(file: str, address: str, limit: int, json_asked: bool) -> int:
     """Which rules of FILE an ADDRESS meets, in their order, and what each allows it. Standing that is earned shows
--- a/chutepin/cli/agree.py
+++ b/chutepin/cli/agree.py
@@ -45,10 +45,15 @@
     if as_json(json_asked):
         show_json(found)
     else:
-        parties = [{"name": name, "part": part[:-1], "lacks": "" if lag is None else lag}
-                   for part in ("voters", "learners") for name, lag in found[part].items()]
-        show_fields(f"the log in common, as {ops} shows it",
-                    {name: value for name, value in found.items() if name not in ("voters", "learners")})
+        parties = [
+            {"name": name, "part": part[:-1], "lacks": "" if lag is None else lag}
+            for part in ("voters", "learners")
+            for name, lag in found[part].items()
+        ]
+        show_fields(
+            f"the log in common, as {ops} shows it",
+            {name: value for name, value in found.items() if name not in ("voters", "learners")},
+        )
         show_table("who takes part", parties)
     return int(found["leader"] == "-")
 
@@ -178,9 +183,12 @@
     from ..agree.recovery import alone
 
     name, node, _, _, durable, _ = opened(directory)
-    click.echo(f"{node} holds the log up to {durable.base + len(durable.entries)}, term {durable.term}. What only the "
-               f"others had is lost, also where it was agreed; what stands here counts as agreed, also where it never "
-               f"was. None of the other voters may ever start with its old store again: empty those first.", err=True)
+    click.echo(
+        f"{node} holds the log up to {durable.base + len(durable.entries)}, term {durable.term}. What only the "
+        f"others had is lost, also where it was agreed; what stands here counts as agreed, also where it never "
+        f"was. None of the other voters may ever start with its old store again: empty those first.",
+        err=True,
+    )
     if (cluster or click.prompt("The cluster's name, to go on", err=True)) != name:
         click.echo(f"that is not the name of the cluster of {directory}; nothing has changed", err=True)
         return 1
@@ -195,9 +203,17 @@
 def inspect(directory: Path, json_asked: bool) -> int:
     """What the store in DIRECTORY holds of the log; the node must not run. Exit code 1 if it is damaged."""
     cluster, node, born, standing, durable, _ = opened(directory)
-    found = {"cluster": cluster, "node": node, "store": born, "standing": standing, "term": durable.term,
-             "vote": durable.vote, "snapshot": durable.snapshot.upto if durable.snapshot is not None else 0,
-             "first": durable.base + 1, "last": durable.base + len(durable.entries)}
+    found = {
+        "cluster": cluster,
+        "node": node,
+        "store": born,
+        "standing": standing,
+        "term": durable.term,
+        "vote": durable.vote,
+        "snapshot": durable.snapshot.upto if durable.snapshot is not None else 0,
+        "first": durable.base + 1,
+        "last": durable.base + len(durable.entries),
+    }
     if as_json(json_asked):
         show_json(found)
     else:
--- a/chutepin/cli/ask.py
+++ b/chutepin/cli/ask.py
@@ -11,8 +11,9 @@
 
 BY = 5.0  # seconds in which a node must have answered
 
-OPS = click.option("--ops", envvar="LB_OPS", required=True, metavar="HOST:PORT",
-                   help="Where the node listens for operators (LB_OPS).")
+OPS = click.option(
+    "--ops", envvar="LB_OPS", required=True, metavar="HOST:PORT", help="Where the node listens for operators (LB_OPS)."
+)
 
 
 class AskError(click.ClickException):
@@ -36,7 +37,7 @@
         raise AskError(f"{ops}: {lines[0] if lines else 'no answer'}")
     if lines[-1] != "EOT":
         raise AskError(f"{ops}: the answer broke off")
-    return lines[0][len("SUCCESS"):].strip(), lines[1:-1]
+    return lines[0][len("SUCCESS") :].strip(), lines[1:-1]
 
 
 def _answer(ops: str, call: str) -> list[str]:
@@ -60,5 +61,7 @@
 
 def rows(lines: list[str], fields: Mapping[str, Callable[[str], Any]]) -> list[dict[str, Any]]:
     """Lines of fixed fields as rows."""
-    return [{name: convert(word) for (name, convert), word in zip(fields.items(), line.split(), strict=True)}
-            for line in lines]
+    return [
+        {name: convert(word) for (name, convert), word in zip(fields.items(), line.split(), strict=True)}
+        for line in lines
+    ]
--- a/chutepin/cli/cluster.py
+++ b/chutepin/cli/cluster.py
@@ -65,16 +65,27 @@
     found = []
     for line in ask(ops, "changes")[1]:
         number, age, what, member, incarnation, *fields = line.split()
-        found.append({"number": int(number), "age_s": int(age) / 1000, "what": what, "member": member,
-                      "incarnation": int(incarnation), **dict(field.partition("=")[::2] for field in fields)})
+        found.append(
+            {
+                "number": int(number),
+                "age_s": int(age) / 1000,
+                "what": what,
+                "member": member,
+                "incarnation": int(incarnation),
+                **dict(field.partition("=")[::2] for field in fields),
+            }
+        )
     return found
 
 
 def picture(ops: str) -> dict[str, Any]:
     """All that a picture shows."""
-    return {"view": dict(line.split(maxsplit=1) for line in ask(ops, "view")[1]),
-            "members": rows(ask(ops, "members")[1], MEMBER), "links": rows(ask(ops, "links")[1], LINK),
-            "changes": changes(ops)[-LAST:]}
+    return {
+        "view": dict(line.split(maxsplit=1) for line in ask(ops, "view")[1]),
+        "members": rows(ask(ops, "members")[1], MEMBER),
+        "links": rows(ask(ops, "links")[1], LINK),
+        "changes": changes(ops)[-LAST:],
+    }
 
 
 def pictures(ops: str, seconds: float) -> Iterator[dict[str, Any]]:
@@ -125,8 +136,12 @@
     view = shown["view"]
     head = f"{ops}: health {view['health']}" + (", isolated" * (view["isolated"] == "yes"))
     bad = ", ".join(f"{link['from']} → {link['to']} for {link['since_s']:.0f} s" for link in shown["links"])
-    return Group(head, Columns([Panel(text, title=zone) for zone, text in sorted(zones.items())]),
-                 f"bad links: {bad or 'none'}", told)
+    return Group(
+        head,
+        Columns([Panel(text, title=zone) for zone, text in sorted(zones.items())]),
+        f"bad links: {bad or 'none'}",
+        told,
+    )
 
 
 @command.command()
--- a/chutepin/cli/demo.py
+++ b/chutepin/cli/demo.py
@@ -22,14 +22,19 @@
     made = Table("class", "sent", *OUTCOMES, "median ms", "99 % ms", title="one final answer for each request")
     for cls, sent in sorted(tally.sent.items()):
         times = [tally.time(cls, part) for part in (0.5, 0.99)]
-        made.add_row(cls, str(sent), *(str(tally.outcomes[cls, outcome]) for outcome in OUTCOMES),
-                     *("" if value is None else f"{value:.1f}" for value in times))
+        made.add_row(
+            cls,
+            str(sent),
+            *(str(tally.outcomes[cls, outcome]) for outcome in OUTCOMES),
+            *("" if value is None else f"{value:.1f}" for value in times),
+        )
     return made
 
 
 @click.command("demo")
-@click.option("--seconds", type=click.FloatRange(0.1, 3600), default=10.0, show_default=True,
-              help="How long requests are sent.")
+@click.option(
+    "--seconds", type=click.FloatRange(0.1, 3600), default=10.0, show_default=True, help="How long requests are sent."
+)
 @click.option("--seed", type=int, default=1, show_default=True, help="Of the mix of requests.")
 @click.option("--json", "as_json", is_flag=True, help="Print the outcomes as one JSON object at the end.")
 def command(seconds: float, seed: int, as_json: bool) -> int:
--- a/chutepin/cli/lab.py
+++ b/chutepin/cli/lab.py
@@ -15,8 +15,11 @@
 
 JSON = click.option("--json", "json_asked", is_flag=True, help="Print JSON also on a terminal.")
 SEED = click.option("--seed", type=int, default=1, show_default=True, help="Of all chance, and of what is drawn.")
-OUT = click.option("--out", type=click.Path(file_okay=False, path_type=Path),
-                   help="A folder for history.jsonl, schedule.json and the chart.")
+OUT = click.option(
+    "--out",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="A folder for history.jsonl, schedule.json and the chart.",
+)
 
 
 @click.group("lab")
@@ -46,19 +49,37 @@
         (out / "schedule.json").write_text(history.schedule.as_json())
         try:
             from ..lab import charts
+
             charts.alive(out / "alive.svg", history)
         except ImportError:
             raise click.ClickException("the chart needs requirements-tools.txt") from None
     if as_json(json_asked):
-        show_json({"members": history.schedule.members, "seconds": history.schedule.seconds, "seen": dict(counts),
-                   "datagrams": history.packets, "broken": found})
+        show_json(
+            {
+                "members": history.schedule.members,
+                "seconds": history.schedule.seconds,
+                "seen": dict(counts),
+                "datagrams": history.packets,
+                "broken": found,
+            }
+        )
     else:
-        show_table("done", [{"at": f"{fault.at:.2f}", "what": fault.what, "members": " ".join(fault.members) or
-                             " | ".join(" ".join(group) for group in fault.groups), "value": fault.value}
-                            for fault in history.done])
+        show_table(
+            "done",
+            [
+                {
+                    "at": f"{fault.at:.2f}",
+                    "what": fault.what,
+                    "members": " ".join(fault.members) or " | ".join(" ".join(group) for group in fault.groups),
+                    "value": fault.value,
+                }
+                for fault in history.done
+            ],
+        )
         show_table("seen, by kind", [{"what": what, "times": times} for what, times in counts.most_common()])
-        show_table("broken", [{"invariant": name, "found": line} for name, lines in found.items()
-                              for line in lines[:10]])
+        show_table(
+            "broken", [{"invariant": name, "found": line} for name, lines in found.items() for line in lines[:10]]
+        )
         click.echo("every invariant holds" if not found else f"{len(found)} invariants are broken")
     return int(bool(found))
 
@@ -72,8 +93,13 @@
 @SEED
 @OUT
 @JSON
-@click.option("--slack", type=click.FloatRange(1), default=1.5, show_default=True,
-              help="By what the bounds of time are widened on a busy machine.")
+@click.option(
+    "--slack",
+    type=click.FloatRange(1),
+    default=1.5,
+    show_default=True,
+    help="By what the bounds of time are widened on a busy machine.",
+)
 def fleet(schedule: str, seed: int, out: Path | None, json_asked: bool, slack: float) -> int:
     """Play SCHEDULE (a file, or `draw`) on real processes; exit code 1 if an invariant is broken."""
     from ..lab.fleet import play
@@ -110,18 +136,37 @@
 @click.option("--snapshots", default=0, show_default=True)
 @click.option("--seconds", type=click.FloatRange(0.1), default=60.0, show_default=True, help="It ends after so long.")
 @JSON
-def explore(voters: int, elections: int, proposals: int, beats: int, crashes: int, twice: int, snapshots: int,
-            seconds: float, json_asked: bool) -> int:
+def explore(
+    voters: int,
+    elections: int,
+    proposals: int,
+    beats: int,
+    crashes: int,
+    twice: int,
+    snapshots: int,
+    seconds: float,
+    json_asked: bool,
+) -> int:
     """Drive the real consensus through all interleavings of a scope; exit code 1 if an invariant is broken."""
     import time
 
     from ..lab.explorer import Scope
     from ..lab.explorer import explore as explored
 
-    found = explored(Scope(voters, elections, proposals, beats, crashes, twice, snapshots=snapshots), most=10**9,
-                     until=time.monotonic() + seconds)
-    fields = {"states": found.states, "steps": found.steps, "depth": found.depth, "seconds": round(found.seconds, 1),
-              "whole": found.whole, "broken": found.broken, "path": [" ".join(step) for step in found.path]}
+    found = explored(
+        Scope(voters, elections, proposals, beats, crashes, twice, snapshots=snapshots),
+        most=10**9,
+        until=time.monotonic() + seconds,
+    )
+    fields = {
+        "states": found.states,
+        "steps": found.steps,
+        "depth": found.depth,
+        "seconds": round(found.seconds, 1),
+        "whole": found.whole,
+        "broken": found.broken,
+        "path": [" ".join(step) for step in found.path],
+    }
     if as_json(json_asked):
         show_json(fields)
     else:
--- a/chutepin/cli/node.py
+++ b/chutepin/cli/node.py
@@ -13,10 +13,13 @@
 @click.option("--amqp", metavar="FILE", help="Consume the queues that this TOML file names.")
 @click.option("--read", metavar="FILE", help="Take the requests of this pcap file, then leave.")
 @click.option("--record", metavar="FILE", help="Write what is asked and answered to a pcap file.")
-@click.option("--log-format", type=click.Choice([format.value for format in LogFormat]),
-              help="How events are logged; overrides the operator's file.")
-def command(setup: str | None, amqp: str | None, read: str | None, record: str | None,
-            log_format: str | None) -> int:
+@click.option(
+    "--log-format",
+    type=click.Choice([format.value for format in LogFormat]),
+    help="How events are logged; overrides the operator's file.",
+)
+def command(setup: str | None, amqp: str | None, read: str | None, record: str | None, log_format: str | None) -> int:
     """Run one node, set up by LB_CONFIG, until SIGTERM."""
-    return serve(setup=setup, amqp=amqp, read=read, record=record,
-                 log_format=LogFormat(log_format) if log_format else None)
+    return serve(
+        setup=setup, amqp=amqp, read=read, record=record, log_format=LogFormat(log_format) if log_format else None
+    )
--- a/chutepin/cli/output.py
+++ b/chutepin/cli/output.py
@@ -31,8 +31,12 @@
         return
     table = Table(*rows[0], title=title)
     for row in rows:
-        table.add_row(*(f"{value:,}" if isinstance(value, int) and not isinstance(value, bool) else str(value)
-                        for value in row.values()))
+        table.add_row(
+            *(
+                f"{value:,}" if isinstance(value, int) and not isinstance(value, bool) else str(value)
+                for value in row.values()
+            )
+        )
     Console().print(table)
 
 
--- a/chutepin/cli/store.py
+++ b/chutepin/cli/store.py
@@ -26,6 +26,7 @@
 
 def told(work: Callable[..., int]) -> Callable[..., int]:
     """Turn the store's errors into one line and an exit code."""
+
     @functools.wraps(work)
     def wrapped(*arguments: Any, **options: Any) -> int:
         try:
@@ -33,6 +34,7 @@
         except StoreError as error:
             say(str(error))
             return LOCKED if isinstance(error, StoreLocked) else DAMAGED if isinstance(error, StoreDamaged) else REFUSED
+
     return wrapped
 
 
@@ -52,10 +54,13 @@
     if as_json(json_asked):
         show_json(checked.as_dict())
     else:
-        show_fields(directory, {"segments": checked.segments, "records": checked.records, "bytes": checked.bytes,
-                                "sound": checked.sound})
-        show_table("findings", [{"file": f.file, "offset": f.offset, "loss": f.loss, "what": f.what}
-                                for f in checked.findings])
+        show_fields(
+            directory,
+            {"segments": checked.segments, "records": checked.records, "bytes": checked.bytes, "sound": checked.sound},
+        )
+        show_table(
+            "findings", [{"file": f.file, "offset": f.offset, "loss": f.loss, "what": f.what} for f in checked.findings]
+        )
     return 0 if checked.sound else DAMAGED
 
 
@@ -87,8 +92,13 @@
     rows = []
     with looking.directory(directory) as files:
         for record in looking.dump(files, every):
-            row = {"seq": record.seq, "kind": record.kind.name.lower(), "key": _text(record.key),
-                   "expires": None if record.expires == NEVER else record.expires / 1000, "bytes": len(record.value)}
+            row = {
+                "seq": record.seq,
+                "kind": record.kind.name.lower(),
+                "key": _text(record.key),
+                "expires": None if record.expires == NEVER else record.expires / 1000,
+                "bytes": len(record.value),
+            }
             if as_json(json_asked):
                 show_json(row | {"value": _text(record.value)})
             else:
@@ -109,8 +119,13 @@
 
 @command.command()
 @click.argument("directory")
-@click.option("--max-mib", type=click.IntRange(1), default=MAX_BYTES >> 20, show_default=True,
-              help="The store's size limit, as in the operator's file.")
+@click.option(
+    "--max-mib",
+    type=click.IntRange(1),
+    default=MAX_BYTES >> 20,
+    show_default=True,
+    help="The store's size limit, as in the operator's file.",
+)
 @JSON
 @told
 def compact(directory: str, max_mib: int, json_asked: bool) -> int:
@@ -121,8 +136,13 @@
         before = store.figures()["disk_bytes"]
         store.compact()
         after = store.figures()
-    result = {"disk_bytes_before": before, "disk_bytes": after["disk_bytes"], "live_bytes": after["live_bytes"],
-              "copied_bytes": after.get("copied_bytes", 0), "keys": after["keys"]}
+    result = {
+        "disk_bytes_before": before,
+        "disk_bytes": after["disk_bytes"],
+        "live_bytes": after["live_bytes"],
+        "copied_bytes": after.get("copied_bytes", 0),
+        "keys": after["keys"],
+    }
     if as_json(json_asked):
         show_json(result)
     else:
@@ -133,8 +153,9 @@
 @command.command()
 @click.argument("directory")
 @click.argument("into")
-@click.option("--max-mib", type=click.IntRange(1), default=MAX_BYTES >> 20, show_default=True,
-              help="The new store's size limit.")
+@click.option(
+    "--max-mib", type=click.IntRange(1), default=MAX_BYTES >> 20, show_default=True, help="The new store's size limit."
+)
 @click.option("--yes", is_flag=True, help="Do not ask; for scripts.")
 @JSON
 @told
@@ -150,7 +171,14 @@
     if as_json(json_asked):
         show_json(salvaged.as_dict())
     else:
-        show_fields(into, {"kept": salvaged.kept, "read": salvaged.read, "expired": salvaged.expired,
-                           "records known to be lost": salvaged.missing})
+        show_fields(
+            into,
+            {
+                "kept": salvaged.kept,
+                "read": salvaged.read,
+                "expired": salvaged.expired,
+                "records known to be lost": salvaged.missing,
+            },
+        )
         show_table("could not be kept", [{"file": g.file, "offset": g.offset, "what": g.what} for g in salvaged.gaps])
     return DAMAGED if salvaged.gaps or salvaged.missing else 0
--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -63,8 +63,11 @@
         """`incarnation`: above that of every earlier process of this name, as far as that is known."""
         self._setup, self._rng = setup, rng
         address = f"{setup.listen.host}:{setup.listen.port}"
-        self.view = View(Record(name, address, setup.region, setup.zone, incarnation, Status.ALIVE, name),
-                         setup.members, setup.remember)
+        self.view = View(
+            Record(name, address, setup.region, setup.zone, incarnation, Status.ALIVE, name),
+            setup.members,
+            setup.remember,
+        )
         self.health = Health()
         self.isolated = False
         self.leaving = False
@@ -349,8 +352,9 @@
             if self.view.refused_by is not None:
                 return
             self.view.joined = True
-            self._effects.append(Answer(
-                self._packet(packet.me.name, Sync(False, True), self.view.whole(now), stream=True)))
+            self._effects.append(
+                Answer(self._packet(packet.me.name, Sync(False, True), self.view.whole(now), stream=True))
+            )
         elif self.view.refused_by is not None:  # nobody holds the name any more
             self.view.refused_by = None
             self.view.begin_life(self.me.incarnation)
@@ -371,8 +375,13 @@
             return
         wait = self._setup.probe_timeout * self.health.stretch
         nonce = self._number_anew()
-        self._probes[nonce] = Probe(nonce, subject, why, now if why is Why.VERIFY else now + wait,
-                                    now + self._setup.probe_every * self.health.stretch)
+        self._probes[nonce] = Probe(
+            nonce,
+            subject,
+            why,
+            now if why is Why.VERIFY else now + wait,
+            now + self._setup.probe_every * self.health.stretch,
+        )
         self._ping(now, subject, nonce)
 
     def _ask_for(self, now: float, asker: str, body: PingReq, against: list[Record]) -> None:
@@ -471,8 +480,11 @@
     def _hold(self, now: float, accusation: Accusation) -> None:
         """Test an accused again, or judge it once its time is up."""
         member = self.view.table.members.get(accusation.subject)
-        if member is None or member.record.status is not Status.SUSPECT \
-                or member.record.incarnation != accusation.incarnation:
+        if (
+            member is None
+            or member.record.status is not Status.SUSPECT
+            or member.record.incarnation != accusation.incarnation
+        ):
             del self._accusations[accusation.subject]
             return
         alone = self._lonely(now) and now < accusation.began + self._setup.alone
@@ -611,8 +623,9 @@
         """Who was asked for another member did not answer. Saying so tells that member that its helper is well."""
         del self._relays[nonce]
         member = self.view.table.members.get(relay.subject)
-        self._send(relay.asker, Found(relay.asked, relay.subject, False, -1),
-                   [member.record] if member is not None else [])
+        self._send(
+            relay.asker, Found(relay.asked, relay.subject, False, -1), [member.record] if member is not None else []
+        )
 
     def _ask_helpers(self, probe: Probe) -> None:
         """Ask others to ask; with what stands against the subject, so that they can put it right."""
@@ -653,8 +666,9 @@
     def _join(self, now: float) -> None:
         """Ask a seed that is not there, and one of the dead: so the sides of a cut find each other again."""
         members = self.view.table.members
-        away = [(name, address) for name, address in self._seeds
-                if name not in members or not members[name].record.live]
+        away = [
+            (name, address) for name, address in self._seeds if name not in members or not members[name].record.live
+        ]
         if not self.view.joined:
             away = self._seeds
         if away and (not self.view.joined or self._rng.random() < 0.25):
@@ -682,4 +696,3 @@
         # Without a probe under way for long there is nobody to probe, which is no silence of others.
         if not view.table.live():
             self.health.answered = now
-
--- a/chutepin/cluster/frames.py
+++ b/chutepin/cluster/frames.py
@@ -48,8 +48,18 @@
 def encode(packet: Packet, cluster: bytes) -> bytes:
     """The frame of a packet."""
     body = packet.body
-    content = msgpack.packb([packet.to, packet.me, packet.life, packet.number, packet.digest, BODIES.index(type(body)),
-                             body, [_plain(update) for update in packet.updates]])
+    content = msgpack.packb(
+        [
+            packet.to,
+            packet.me,
+            packet.life,
+            packet.number,
+            packet.digest,
+            BODIES.index(type(body)),
+            body,
+            [_plain(update) for update in packet.updates],
+        ]
+    )
     return bytes(_HEAD.pack(_MARK, VERSION, cluster, zlib.crc32(content)) + content)
 
 
@@ -66,7 +76,7 @@
         raise FrameError("version")
     if whose != cluster:
         raise FrameError("cluster")
-    content = memoryview(data)[_HEAD.size:]
+    content = memoryview(data)[_HEAD.size :]
     if zlib.crc32(content) != checksum:
         raise FrameError("checksum")
     try:
@@ -85,8 +95,15 @@
     if len(updates) > MAX_UPDATES:
         raise FrameError("too_long")
     # A seed may be asked before its name is known to be right: `to` may be empty, no other name may.
-    return Packet(_text(to) if to else "", _record(me), _whole(life), _whole(number), int(digest), _body(body, fields),
-                  tuple(_update(update) for update in updates))
+    return Packet(
+        _text(to) if to else "",
+        _record(me),
+        _whole(life),
+        _whole(number),
+        int(digest),
+        _body(body, fields),
+        tuple(_update(update) for update in updates),
+    )
 
 
 _READERS: dict[type[Any], Any] = {}
@@ -129,8 +146,9 @@
 
 def _record(raw: list[Any]) -> Record:
     name, address, region, zone, incarnation, status, by = raw
-    return Record(_text(name), _text(address), _text(region), _text(zone), _whole(incarnation), Status(_whole(status)),
-                  _text(by))
+    return Record(
+        _text(name), _text(address), _text(region), _text(zone), _whole(incarnation), Status(_whole(status)), _text(by)
+    )
 
 
 def _update(raw: list[Any]) -> Update:
@@ -140,8 +158,12 @@
     reporter, life, version, bad = fields
     if kind != 1 or len(bad) > MAX_LINKS:
         raise FrameError("malformed")
-    return Links(_text(reporter), _whole(life), _whole(version),
-                 tuple(BadLink(_text(source), _text(target), _whole(age)) for source, target, age in bad))
+    return Links(
+        _text(reporter),
+        _whole(life),
+        _whole(version),
+        tuple(BadLink(_text(source), _text(target), _whole(age)) for source, target, age in bad),
+    )
 
 
 def stream_frame(packet: Packet, cluster: bytes) -> bytes:
@@ -166,4 +188,4 @@
             raise FrameError("too_long" if length > MAX_STREAM else "truncated")
         if len(self._buffer) < _LENGTH.size + length:
             return None
-        return bytes(self._buffer[_LENGTH.size:_LENGTH.size + length])
+        return bytes(self._buffer[_LENGTH.size : _LENGTH.size + length])
--- a/chutepin/cluster/incarnation.py
+++ b/chutepin/cluster/incarnation.py
@@ -40,5 +40,6 @@
         """Remember a higher one; durable soon. A full store loses it: then the fleet's memory has to do."""
         if self._store is not None:
             from ..store import StoreError
+
             with contextlib.suppress(StoreError):
                 self._store.offer(_key(self._name), b"%d" % incarnation, FOREVER)
--- a/chutepin/cluster/links.py
+++ b/chutepin/cluster/links.py
@@ -59,8 +59,15 @@
 
     def report(self, now: float) -> Links:
         """What this member tells of links."""
-        return Links(self.me, self.life, self.version, tuple(
-            BadLink(source, target, max(0, int(1000 * (now - since)))) for (source, target), since in self.own.items()))
+        return Links(
+            self.me,
+            self.life,
+            self.version,
+            tuple(
+                BadLink(source, target, max(0, int(1000 * (now - since))))
+                for (source, target), since in self.own.items()
+            ),
+        )
 
     def hear(self, now: float, links: Links) -> bool:
         """Another member tells; whether that is newer than what was known."""
@@ -70,15 +77,25 @@
         if known is not None:
             self._account(links.reporter, known.life, known.version)
         self._account(links.reporter, links.life, links.version)
-        self._told[links.reporter] = _Report(links.life, links.version, {
-            (link.source, link.target): now - link.age / 1000 for link in links.bad})
+        self._told[links.reporter] = _Report(
+            links.life, links.version, {(link.source, link.target): now - link.age / 1000 for link in links.bad}
+        )
         return True
 
     def told(self, now: float) -> list[Links]:
         """What the others told, to be told on in a whole state."""
-        return [Links(name, report.life, report.version, tuple(
-            BadLink(source, target, max(0, int(1000 * (now - since)))) for (source, target), since in
-            report.since.items())) for name, report in self._told.items()]
+        return [
+            Links(
+                name,
+                report.life,
+                report.version,
+                tuple(
+                    BadLink(source, target, max(0, int(1000 * (now - since))))
+                    for (source, target), since in report.since.items()
+                ),
+            )
+            for name, report in self._told.items()
+        ]
 
     def forget(self, name: str) -> bool:
         """A member has gone: neither its reports nor links to it mean anything; whether an own report has changed."""
--- a/chutepin/cluster/subsystem.py
+++ b/chutepin/cluster/subsystem.py
@@ -33,8 +33,16 @@
 class Cluster:
     """This node's part in the cluster (`subsystem.Subsystem`)."""
 
-    def __init__(self, setup: ClusterSetup, name: str, seed: int, ledger: Ledger, counters: Counters, log: Log,
-                 store: Store | None) -> None:
+    def __init__(
+        self,
+        setup: ClusterSetup,
+        name: str,
+        seed: int,
+        ledger: Ledger,
+        counters: Counters,
+        log: Log,
+        store: Store | None,
+    ) -> None:
         self._setup, self._name, self._counters, self._log = setup, name, counters, log
         self._incarnations = Incarnations(name, store)
         incarnation = self._begun(store)
@@ -54,6 +62,7 @@
         if store is None:
             return self._incarnations.begin()
         from ..store import StoreError
+
         try:
             return self._incarnations.begin()
         except StoreError as error:
@@ -80,8 +89,12 @@
                 await self._wanted.wait()
                 await self._open()
                 self._active = True
-                self._log.event("cluster.serves", name=self._setup.name, member=self._name,
-                                incarnation=self._detector.me.incarnation)
+                self._log.event(
+                    "cluster.serves",
+                    name=self._setup.name,
+                    member=self._name,
+                    incarnation=self._detector.me.incarnation,
+                )
                 self._tick()
                 await self._yielded.wait()
         finally:
@@ -97,8 +110,11 @@
             except OSError as error:
                 if not told:
                     told = True
-                    self._log.event("cluster.listen_failed", why=error.strerror or str(error),
-                                    listen=f"{self._setup.listen.host}:{self._setup.listen.port}")
+                    self._log.event(
+                        "cluster.listen_failed",
+                        why=error.strerror or str(error),
+                        listen=f"{self._setup.listen.host}:{self._setup.listen.port}",
+                    )
                 await asyncio.sleep(AGAIN)
 
     def _rest(self) -> None:
@@ -137,9 +153,15 @@
         """Counts of the detector."""
         view, health = self._detector.view, self._detector.health
         counts = {f"cluster.{name}": count for name, count in sorted(view.counts.items())}
-        return counts | {"cluster.members": view.members, "cluster.health": health.score, "cluster.late": health.late,
-                         "cluster.accused": view.accused, "cluster.no_room": view.table.refused,
-                         "cluster.queue_dropped": view.queue.dropped, "cluster.links_unsaid": view.links.unsaid}
+        return counts | {
+            "cluster.members": view.members,
+            "cluster.health": health.score,
+            "cluster.late": health.late,
+            "cluster.accused": view.accused,
+            "cluster.no_room": view.table.refused,
+            "cluster.queue_dropped": view.queue.dropped,
+            "cluster.links_unsaid": view.links.unsaid,
+        }
 
     # --- for parts that speak to other members themselves ---
 
@@ -228,28 +250,42 @@
     def _links(self) -> str:
         view, now = self._detector.view, time.monotonic()
         live = {record.name for record in self._records() if record.live}
-        return _answer("", [f"{source} {target} {max(0.0, now - since):.1f}"
-                            for (source, target), since in sorted(view.links.bad(live).items())])
+        return _answer(
+            "",
+            [
+                f"{source} {target} {max(0.0, now - since):.1f}"
+                for (source, target), since in sorted(view.links.bad(live).items())
+            ],
+        )
 
     def _told(self) -> str:
         """NUMBER AGE-ms WHAT MEMBER INCARNATION and then field=value; the oldest first."""
         now = time.monotonic()
         lines = []
         for number, at, tell in self._changes:
-            fields = " ".join(f"{name}={tell.fields[name]}" for name in FIELDS
-                              if tell.fields.get(name) not in (None, ""))
-            lines.append(f"{number} {1000 * (now - at):.0f} {tell.what} {tell.member} "
-                         f"{tell.fields.get('incarnation', 0)} {fields}".rstrip())
+            fields = " ".join(
+                f"{name}={tell.fields[name]}" for name in FIELDS if tell.fields.get(name) not in (None, "")
+            )
+            lines.append(
+                f"{number} {1000 * (now - at):.0f} {tell.what} {tell.member} "
+                f"{tell.fields.get('incarnation', 0)} {fields}".rstrip()
+            )
         return _answer("", lines)
 
     def _view(self) -> str:
         view, detector = self._detector.view, self._detector
-        return _answer(f"cluster {self._setup.name} member {self._name}", [
-            f"isolated {'yes' if detector.isolated else 'no'}", f"joined {'yes' if view.joined else 'no'}",
-            f"health {detector.health.score}", f"accused {view.accused}", f"digest {view.digest:014x}",
-            f"refused {view.refused_by.address if view.refused_by is not None else 'no'}"])
+        return _answer(
+            f"cluster {self._setup.name} member {self._name}",
+            [
+                f"isolated {'yes' if detector.isolated else 'no'}",
+                f"joined {'yes' if view.joined else 'no'}",
+                f"health {detector.health.score}",
+                f"accused {view.accused}",
+                f"digest {view.digest:014x}",
+                f"refused {view.refused_by.address if view.refused_by is not None else 'no'}",
+            ],
+        )
 
 
 def _answer(head: str, lines: Iterable[str]) -> str:
     return "\n".join([f"SUCCESS {head}".rstrip(), *lines, "EOT"]) + "\n"
-
--- a/chutepin/cluster/table.py
+++ b/chutepin/cluster/table.py
@@ -129,5 +129,8 @@
 
     def aged(self, now: float) -> list[str]:
         """The gone that have been remembered long enough."""
-        return [name for name in self.of(Status.DEAD) + self.of(Status.LEFT)
-                if now - self.members[name].since > self._remember]
+        return [
+            name
+            for name in self.of(Status.DEAD) + self.of(Status.LEFT)
+            if now - self.members[name].since > self._remember
+        ]
--- a/chutepin/cluster/transport.py
+++ b/chutepin/cluster/transport.py
@@ -45,8 +45,9 @@
 class Transport:
     """The sockets of one member. It is its own acceptor's gate."""
 
-    def __init__(self, cluster: str, listen: Address, deliver: Deliver, ledger: Ledger, counters: Counters,
-                 log: Log) -> None:
+    def __init__(
+        self, cluster: str, listen: Address, deliver: Deliver, ledger: Ledger, counters: Counters, log: Log
+    ) -> None:
         """`deliver(packet, stream)` takes in what came; what it gives is the answer to an exchange."""
         self._cluster, self._listen, self._deliver = cluster_id(cluster), listen, deliver
         self._ledger, self._counters, self._log = ledger, counters, log
--- a/chutepin/cluster/view.py
+++ b/chutepin/cluster/view.py
@@ -159,8 +159,9 @@
         """Others hold this member for less than alive: say so at a higher incarnation."""
         self.accused += 1
         self.raise_above(record.incarnation)
-        self.tell("refuted", self.me.name, by=record.by, was=record.status.name.lower(),
-                  incarnation=self.me.incarnation)
+        self.tell(
+            "refuted", self.me.name, by=record.by, was=record.status.name.lower(), incarnation=self.me.incarnation
+        )
 
     def raise_above(self, incarnation: int) -> None:
         """Be known at a higher incarnation."""
@@ -193,8 +194,12 @@
     def find_link(self, now: float, source: str, target: str, bad: bool) -> None:
         """This member has found out about a link."""
         if self.links.find(now, source, target, bad):
-            self.tell("link_bad" if bad else "link_good", target if source == self.me.name else source,
-                      source=source, target=target)
+            self.tell(
+                "link_bad" if bad else "link_good",
+                target if source == self.me.name else source,
+                source=source,
+                target=target,
+            )
             self.queue.add(self.links.report(now))
 
     def forget_links(self, now: float, name: str) -> None:
--- a/chutepin/config/__init__.py
+++ b/chutepin/config/__init__.py
@@ -16,5 +16,20 @@
     parse_amqp,
 )
 
-__all__ = ["Address", "AdmissionSetup", "AmqpConfig", "Config", "ConfigError", "LogSetup", "QueueConfig", "Setup",
-           "StoreSetup", "load", "load_amqp", "load_setup", "parse", "parse_amqp", "parse_setup"]
+__all__ = [
+    "Address",
+    "AdmissionSetup",
+    "AmqpConfig",
+    "Config",
+    "ConfigError",
+    "LogSetup",
+    "QueueConfig",
+    "Setup",
+    "StoreSetup",
+    "load",
+    "load_amqp",
+    "load_setup",
+    "parse",
+    "parse_amqp",
+    "parse_setup",
+]
--- a/chutepin/config/agree.py
+++ b/chutepin/config/agree.py
@@ -29,8 +29,11 @@
 
 
 KNOWN: Mapping[str, Check | Many] = {
-    "voters": Many(_name), "election": quantity(TIME, 0.1, 60.0), "heartbeat": quantity(TIME, 0.02, 10.0),
-    "log": size(2**16, 2**26)}
+    "voters": Many(_name),
+    "election": quantity(TIME, 0.1, 60.0),
+    "heartbeat": quantity(TIME, 0.02, 10.0),
+    "log": size(2**16, 2**26),
+}
 
 
 def checked(values: dict[str, Any]) -> AgreeSetup:
--- a/chutepin/config/cluster.py
+++ b/chutepin/config/cluster.py
@@ -68,14 +68,26 @@
 
 
 KNOWN: Mapping[str, Check | Many] = {
-    "name": _name, "region": _name, "zone": _name, "listen": _listen, "seeds": Many(_peer), "reach": Many(_peer),
-    "probe-every": quantity(TIME, 0.05, 60.0), "probe-timeout": quantity(TIME, 0.01, 30.0),
-    "helpers": count("members", 1, 16), "gossip-every": quantity(TIME, 0.01, 10.0),
-    "gossip-to": count("members", 1, 16), "suspect-least": quantity(TIME, 0.1, 300.0),
-    "suspect-most": count("times", 1, 100), "alone": quantity(TIME, 0.1, 3600.0),
-    "link-every": quantity(TIME, 0.1, 300.0), "sync-every": quantity(TIME, 0.1, 3600.0),
-    "join-every": quantity(TIME, 0.05, 300.0), "remember": quantity(TIME, 1.0, 30 * 86400.0),
-    "members": count("members", 2, 2048)}
+    "name": _name,
+    "region": _name,
+    "zone": _name,
+    "listen": _listen,
+    "seeds": Many(_peer),
+    "reach": Many(_peer),
+    "probe-every": quantity(TIME, 0.05, 60.0),
+    "probe-timeout": quantity(TIME, 0.01, 30.0),
+    "helpers": count("members", 1, 16),
+    "gossip-every": quantity(TIME, 0.01, 10.0),
+    "gossip-to": count("members", 1, 16),
+    "suspect-least": quantity(TIME, 0.1, 300.0),
+    "suspect-most": count("times", 1, 100),
+    "alone": quantity(TIME, 0.1, 3600.0),
+    "link-every": quantity(TIME, 0.1, 300.0),
+    "sync-every": quantity(TIME, 0.1, 3600.0),
+    "join-every": quantity(TIME, 0.05, 300.0),
+    "remember": quantity(TIME, 1.0, 30 * 86400.0),
+    "members": count("members", 2, 2048),
+}
 
 
 def checked(values: dict[str, Any]) -> ClusterSetup:
--- a/chutepin/config/operator.py
+++ b/chutepin/config/operator.py
@@ -83,18 +83,21 @@
 
 def quantity(units: Mapping[str, float], least: float, most: float) -> Check:
     """A number with one of these units, within bounds that are given in the base unit."""
+
     def check(raw: Any, name: str) -> float:
         unit, value = getattr(raw, "type_annotation", None), getattr(raw, "value", raw)
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             raise ConfigError(f"{name}: not a number")
         if unit is None:
-            raise ConfigError(f"{name}: {value} states no unit; write ({next(iter(units))}){value} or another of "
-                              + ", ".join(units))
+            raise ConfigError(
+                f"{name}: {value} states no unit; write ({next(iter(units))}){value} or another of " + ", ".join(units)
+            )
         if unit not in units:
             raise ConfigError(f"{name}: unknown unit {unit}; known are {', '.join(units)}")
         if not least <= value * units[unit] <= most:
             raise ConfigError(f"{name}: ({unit}){value} is out of range")
         return value * units[unit]
+
     return check
 
 
@@ -113,6 +116,7 @@
         if value != int(value):
             raise ConfigError(f"{name}: ({unit}){value} is no whole number")
         return int(value)
+
     return check
 
 
@@ -142,10 +146,12 @@
 
 def choice(*known: str) -> Check:
     """One of a few words."""
+
     def check(raw: Any, name: str) -> str:
         if raw not in known:
             raise ConfigError(f"{name}: not one of {', '.join(known)}")
         return str(raw)
+
     return check
 
 
@@ -153,17 +159,31 @@
 
 BLOCKS: dict[str, dict[str, Check | Many]] = {
     "log": {"format": choice(*(format.value for format in LogFormat))},
-    "store": {"directory": text, "segment": size(2**16, 2**30), "max": size(2**19, 2**46),
-              "memory": size(2**20, 2**40), "sync-every": quantity(TIME, 0.001, 60.0)},
+    "store": {
+        "directory": text,
+        "segment": size(2**16, 2**30),
+        "max": size(2**19, 2**46),
+        "memory": size(2**20, 2**40),
+        "sync-every": quantity(TIME, 0.001, 60.0),
+    },
     "admission": {
-        "per-address": count("connections", 0, 2**20), "per-block": count("connections", 0, 2**20),
-        "block-v4": count("bits", 8, 32), "block-v6": count("bits", 16, 128),
-        "rate-address": quantity(RATE, 0.0, 1e6), "burst-address": count("connections", 1, 2**20),
-        "rate-block": quantity(RATE, 0.0, 1e6), "burst-block": count("connections", 1, 2**20),
-        "new-share": quantity(SHARE, 0.01, 1.0), "reserve": quantity(SHARE, 0.0, 0.95),
-        "known": Many(network), "relays": Many(network),
-        "earn-requests": count("requests", 0, 2**20), "earn-over": quantity(TIME, 0.0, 86400.0),
-        "earned-age": quantity(TIME, 1.0, 30 * 86400.0), "remembered": count("addresses", 16, 2**20)},
+        "per-address": count("connections", 0, 2**20),
+        "per-block": count("connections", 0, 2**20),
+        "block-v4": count("bits", 8, 32),
+        "block-v6": count("bits", 16, 128),
+        "rate-address": quantity(RATE, 0.0, 1e6),
+        "burst-address": count("connections", 1, 2**20),
+        "rate-block": quantity(RATE, 0.0, 1e6),
+        "burst-block": count("connections", 1, 2**20),
+        "new-share": quantity(SHARE, 0.01, 1.0),
+        "reserve": quantity(SHARE, 0.0, 0.95),
+        "known": Many(network),
+        "relays": Many(network),
+        "earn-requests": count("requests", 0, 2**20),
+        "earn-over": quantity(TIME, 0.0, 86400.0),
+        "earned-age": quantity(TIME, 1.0, 30 * 86400.0),
+        "remembered": count("addresses", 16, 2**20),
+    },
 }
 
 
--- a/chutepin/config/platform.py
+++ b/chutepin/config/platform.py
@@ -95,7 +95,8 @@
         memory=int(positive(limits.get("memory_mb", 192), "limits.memory_mb") * 2**20),
         sockets=int(positive(limits.get("sockets", 1024), "limits.sockets")),
         settings=settings,
-        ops=address(ops, "ops") if ops is not None else None)
+        ops=address(ops, "ops") if ops is not None else None,
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,8 +142,11 @@
 def _queue(raw: Any, field: str, settings: api.Settings) -> QueueConfig:
     table = _table(raw, field, {"name", "team", "class", "held_kb"})
     queue = QueueConfig(
-        text(table.get("name"), f"{field}.name"), text(table.get("team"), f"{field}.team"),
-        text(table.get("class"), f"{field}.class"), positive(table.get("held_kb", 32.0), f"{field}.held_kb"))
+        text(table.get("name"), f"{field}.name"),
+        text(table.get("team"), f"{field}.team"),
+        text(table.get("class"), f"{field}.class"),
+        positive(table.get("held_kb", 32.0), f"{field}.held_kb"),
+    )
     if len(queue.name.encode()) > 255:
         raise ConfigError(f"{field}.name: over 255 bytes")
     if queue.cls not in {cls.name for cls in settings.classes}:
@@ -155,9 +159,20 @@
 def parse_amqp(raw: Any, settings: api.Settings, environment: Mapping[str, str]) -> AmqpConfig:
     """Check the operator's decoded file against the contracts and budgets of the settings."""
     raw = _table(raw, "amqp", {"broker", "queue"})
-    broker = _table(raw.get("broker"), "broker", {
-        "address", "virtual_host", "user", "password_from", "heartbeat_s", "prefetch", "max_body",
-        "redelivery_window_s"})
+    broker = _table(
+        raw.get("broker"),
+        "broker",
+        {
+            "address",
+            "virtual_host",
+            "user",
+            "password_from",
+            "heartbeat_s",
+            "prefetch",
+            "max_body",
+            "redelivery_window_s",
+        },
+    )
     variable = text(broker.get("password_from", "CHUTEPIN_AMQP_PASSWORD"), "broker.password_from")
     if variable not in environment:
         raise ConfigError(f"broker.password_from: {variable} is not set")
@@ -167,12 +182,14 @@
     return AmqpConfig(
         address=address(broker.get("address"), "broker.address"),
         virtual_host=text(broker.get("virtual_host", "/"), "broker.virtual_host"),
-        user=text(broker.get("user"), "broker.user"), password=environment[variable],
+        user=text(broker.get("user"), "broker.user"),
+        password=environment[variable],
         heartbeat=_whole(broker.get("heartbeat_s", 10), "broker.heartbeat_s", 3600),
         prefetch=_whole(broker.get("prefetch", 32), "broker.prefetch", 1024),
         max_body=_whole(broker.get("max_body", 2048), "broker.max_body", 2048),
         redelivery_window=positive(broker.get("redelivery_window_s", 900), "broker.redelivery_window_s"),
-        queues=tuple(_queue(q, f"queue.{index}", settings) for index, q in enumerate(queues)))
+        queues=tuple(_queue(q, f"queue.{index}", settings) for index, q in enumerate(queues)),
+    )
 
 
 def load_amqp(path: str, settings: api.Settings, environment: Mapping[str, str] = os.environ) -> AmqpConfig:
--- a/chutepin/facade.py
+++ b/chutepin/facade.py
@@ -28,9 +28,15 @@
 
 
 _OUTCOME = {
-    End.OK: api.Outcome.OK, End.ERROR: api.Outcome.ERROR, End.REFUSED: api.Outcome.BUSY,
-    End.LATE: api.Outcome.TIMEOUT, End.UNREACHABLE: api.Outcome.CONNECT_FAILED,
-    End.BROKEN: api.Outcome.RESET, End.CANCELLED: api.Outcome.CANCELLED, End.NEVER: api.Outcome.MOOT}
+    End.OK: api.Outcome.OK,
+    End.ERROR: api.Outcome.ERROR,
+    End.REFUSED: api.Outcome.BUSY,
+    End.LATE: api.Outcome.TIMEOUT,
+    End.UNREACHABLE: api.Outcome.CONNECT_FAILED,
+    End.BROKEN: api.Outcome.RESET,
+    End.CANCELLED: api.Outcome.CANCELLED,
+    End.NEVER: api.Outcome.MOOT,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,10 +132,22 @@
 
     def pick(self, now: float, offer: Offer) -> None:
         """A request came in."""
-        self._handle(now, api.Request(
-            id=offer.id, cls=offer.cls, unread=max(0.0, now - offer.arrived), size=offer.size,
-            tenant=offer.tenant, key=offer.subject, due=offer.due, rank=offer.rank, caller=offer.caller,
-            repeats=offer.repeats, again=offer.again))
+        self._handle(
+            now,
+            api.Request(
+                id=offer.id,
+                cls=offer.cls,
+                unread=max(0.0, now - offer.arrived),
+                size=offer.size,
+                tenant=offer.tenant,
+                key=offer.subject,
+                due=offer.due,
+                rank=offer.rank,
+                caller=offer.caller,
+                repeats=offer.repeats,
+                again=offer.again,
+            ),
+        )
 
     def report(self, now: float, what: Report) -> None:
         """What became of a run or a call; a caller has gone; the node leaves."""
@@ -156,8 +174,10 @@
 
     def learned(self) -> dict[str, object]:
         """The module's experience; tables as lists of pairs, as JSON has no numbers as names."""
-        return {name: list(value.items()) if isinstance(value, dict) else value
-                for name, value in self._policy.learned().items()}
+        return {
+            name: list(value.items()) if isinstance(value, dict) else value
+            for name, value in self._policy.learned().items()
+        }
 
     def adopt(self, learned: dict[str, object]) -> bool:
         """Give the module another one's experience; false, and no change, where it is not one."""
--- a/chutepin/handover/frames.py
+++ b/chutepin/handover/frames.py
@@ -12,18 +12,22 @@
 
 VERSION = 1
 MAX_BODY = 512 * 1024  # what a module has learned of a thousand callers is a tenth of that
-VERBS = frozenset({
-    "HELLO",  # successor: version, name
-    "HERE",  # predecessor: its version; the listening sockets come with it
-    "NO",  # predecessor: why there is no hand-over on this link
-    "KEY", "DROP",  # both: an entry of mine is thus; is gone
-    "LEARNED",  # predecessor: the module's experience
-    "SYNCED",  # predecessor: all keys were told
-    "TAKES",  # successor: it can serve
-    "YOURS",  # predecessor: it has stopped accepting, the keys are the successor's
-    "USE",  # both: runs, memory, descriptors
-    "ASK", "TOLD",  # predecessor asks for a key; the successor's answer
-})
+VERBS = frozenset(
+    {
+        "HELLO",  # successor: version, name
+        "HERE",  # predecessor: its version; the listening sockets come with it
+        "NO",  # predecessor: why there is no hand-over on this link
+        "KEY",
+        "DROP",  # both: an entry of mine is thus; is gone
+        "LEARNED",  # predecessor: the module's experience
+        "SYNCED",  # predecessor: all keys were told
+        "TAKES",  # successor: it can serve
+        "YOURS",  # predecessor: it has stopped accepting, the keys are the successor's
+        "USE",  # both: runs, memory, descriptors
+        "ASK",
+        "TOLD",  # predecessor asks for a key; the successor's answer
+    }
+)
 Frame = tuple[str, dict[str, Any]]
 
 
@@ -61,17 +65,30 @@
 
 def key_frame(entry: Entry) -> bytes:
     """An entry as its owner has it. Bytes travel as Latin-1 text."""
-    return frame("KEY", key=entry.key, holder=entry.holder, until=entry.until, contents=entry.contents.hex(),
-                 ran=entry.ran, end=entry.end.value if entry.end is not None else None,
-                 result=entry.result.decode("latin-1"))
+    return frame(
+        "KEY",
+        key=entry.key,
+        holder=entry.holder,
+        until=entry.until,
+        contents=entry.contents.hex(),
+        ran=entry.ran,
+        end=entry.end.value if entry.end is not None else None,
+        result=entry.result.decode("latin-1"),
+    )
 
 
 def key_entry(fields: dict[str, Any]) -> Entry:
     """The entry of a frame. Raises ProtocolError."""
     try:
         ran, end = fields["ran"], fields["end"]
-        return Entry(str(fields["key"]), str(fields["holder"]), float(fields["until"]),
-                     bytes.fromhex(fields["contents"]), str(ran) if ran is not None else None,
-                     End(end) if end is not None else None, str(fields["result"]).encode("latin-1"))
+        return Entry(
+            str(fields["key"]),
+            str(fields["holder"]),
+            float(fields["until"]),
+            bytes.fromhex(fields["contents"]),
+            str(ran) if ran is not None else None,
+            End(end) if end is not None else None,
+            str(fields["result"]).encode("latin-1"),
+        )
     except (KeyError, ValueError, TypeError) as error:
         raise ProtocolError(f"a malformed entry: {error}") from None
--- a/chutepin/handover/link.py
+++ b/chutepin/handover/link.py
@@ -60,8 +60,15 @@
 class Handover:
     """Carries the dialogue over a Unix socket."""
 
-    def __init__(self, path: str, dialogue: Dialogue, listeners: Callable[[], list[socket.socket]], clock: Clock,
-                 counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        path: str,
+        dialogue: Dialogue,
+        listeners: Callable[[], list[socket.socket]],
+        clock: Clock,
+        counters: Counters,
+        log: Log,
+    ) -> None:
         """`listeners`: the clients' listening sockets, for a successor."""
         self._path, self.dialogue, self._listeners = path, dialogue, listeners
         self._clock, self._counters, self._log = clock, counters, log
@@ -114,6 +121,7 @@
 
     def _linked(self, writer: asyncio.StreamWriter) -> None:
         """A link stands: the dialogue may write."""
+
         def send(data: bytes) -> bool | None:
             if not writer.transport.is_closing():
                 writer.write(data)
--- a/chutepin/keys/table.py
+++ b/chutepin/keys/table.py
@@ -114,6 +114,7 @@
 
     def stale(self, now: float, alive: Callable[[str], bool]) -> list[Entry]:
         """Entries whose window is over, unless their try is still in hand here."""
+
         def open_here(entry: Entry) -> bool:
             return entry.end is None and alive(entry.ran or entry.holder)
 
--- a/chutepin/lab/charts.py
+++ b/chutepin/lab/charts.py
@@ -8,12 +8,24 @@
 
 from .history import History
 
-STYLE: dict[str, Any] = {"width": 900, "height": 420, "show_legend": True, "legend_at_bottom": True,
-                         "print_values": False}
-
-
-def lines(path: Path, title: str, x: str, y: str, series: Mapping[str, Sequence[tuple[float, float]]], *,
-          logarithmic: bool = False) -> None:
+STYLE: dict[str, Any] = {
+    "width": 900,
+    "height": 420,
+    "show_legend": True,
+    "legend_at_bottom": True,
+    "print_values": False,
+}
+
+
+def lines(
+    path: Path,
+    title: str,
+    x: str,
+    y: str,
+    series: Mapping[str, Sequence[tuple[float, float]]],
+    *,
+    logarithmic: bool = False,
+) -> None:
     """Write a chart of points joined by lines."""
     import pygal
 
@@ -23,8 +35,15 @@
     chart.render_to_file(str(path))
 
 
-def bars(path: Path, title: str, y: str, labels: Sequence[str], series: Mapping[str, Sequence[float]], *,
-         logarithmic: bool = False) -> None:
+def bars(
+    path: Path,
+    title: str,
+    y: str,
+    labels: Sequence[str],
+    series: Mapping[str, Sequence[float]],
+    *,
+    logarithmic: bool = False,
+) -> None:
     """Write a chart of bars in groups."""
     import pygal
 
--- a/chutepin/lifecycle.py
+++ b/chutepin/lifecycle.py
@@ -31,11 +31,18 @@
 TABLE: dict[State, dict[Move, State]] = {
     State.STARTING: {Move.CAN_SERVE: State.SERVING, Move.LEAVE: State.LEAVING},
     State.SERVING: {
-        Move.CAN_SERVE: State.SERVING, Move.DRAIN: State.DRAINED, Move.RESUME: State.SERVING,
-        Move.SUCCEEDED: State.HANDING_OVER, Move.LEAVE: State.LEAVING},
+        Move.CAN_SERVE: State.SERVING,
+        Move.DRAIN: State.DRAINED,
+        Move.RESUME: State.SERVING,
+        Move.SUCCEEDED: State.HANDING_OVER,
+        Move.LEAVE: State.LEAVING,
+    },
     State.DRAINED: {
-        Move.DRAIN: State.DRAINED, Move.RESUME: State.SERVING, Move.SUCCEEDED: State.HANDING_OVER,
-        Move.LEAVE: State.LEAVING},
+        Move.DRAIN: State.DRAINED,
+        Move.RESUME: State.SERVING,
+        Move.SUCCEEDED: State.HANDING_OVER,
+        Move.LEAVE: State.LEAVING,
+    },
     State.HANDING_OVER: {Move.ALONE: State.SERVING, Move.LEAVE: State.LEAVING},
     State.LEAVING: {Move.LEAVE: State.LEAVING},
 }
