--- a/chutepin/net/amqp.py
+++ b/chutepin/net/amqp.py
@@ -72,10 +72,10 @@
             raise ProtocolError("not a frame, or one over the negotiated size")
         if len(self._buffer) < size + 8:
             return None
-        raw = bytes(self._buffer[:size + 8])
+        raw = bytes(self._buffer[: size + 8])
         if raw[-1] != 0xCE:
             raise ProtocolError("a frame does not end where its size says")
-        del self._buffer[:size + 8]
+        del self._buffer[: size + 8]
         return kind, channel, raw
 
 
@@ -83,8 +83,16 @@
     """A frame by pamqp. Guards against what its decoder raises on malformed input, of whatever kind."""
     try:
         return frame.unmarshal(raw)[2]
-    except (exceptions.PAMQPException, ValueError, LookupError, TypeError, ArithmeticError, OSError,
-            struct.error, AttributeError) as error:
+    except (
+        exceptions.PAMQPException,
+        ValueError,
+        LookupError,
+        TypeError,
+        ArithmeticError,
+        OSError,
+        struct.error,
+        AttributeError,
+    ) as error:
         raise ProtocolError(f"a frame that cannot be decoded: {type(error).__name__}") from None
 
 
@@ -102,8 +110,13 @@
 class Session:
     """The protocol of one link, without a socket: what to write, and the deliveries that came whole."""
 
-    def __init__(self, config: AmqpConfig, write: Callable[[bytes], None],
-                 deliver: Callable[[Session, Content], None], counters: Counters) -> None:
+    def __init__(
+        self,
+        config: AmqpConfig,
+        write: Callable[[bytes], None],
+        deliver: Callable[[Session, Content], None],
+        counters: Counters,
+    ) -> None:
         self._config, self._write, self._deliver, self._counters = config, write, deliver, counters
         self._parser = FrameParser()
         self._content: Content | None = None
@@ -159,7 +172,7 @@
         self.send(header.ContentHeader(body_size=len(data), properties=properties))
         step = self.frame_max - 8
         for at in range(0, len(data), step):
-            self.send(body.ContentBody(data[at:at + step]))
+            self.send(body.ContentBody(data[at : at + step]))
 
     def settle(self, tag: int, method: base.Frame) -> bool:
         """The one outcome of a delivery; false where the link that it came on is gone."""
@@ -223,8 +236,9 @@
                 self.send(commands.Channel.FlowOk(method.active))
             case commands.Channel.Close() | commands.Connection.Close():
                 whole = isinstance(method, commands.Connection.Close)
-                self.send(commands.Connection.CloseOk() if whole else commands.Channel.CloseOk(),
-                          0 if whole else CHANNEL)
+                self.send(
+                    commands.Connection.CloseOk() if whole else commands.Channel.CloseOk(), 0 if whole else CHANNEL
+                )
                 raise ProtocolError(f"closed by the broker: {method.reply_code} {method.reply_text}")
             case _:
                 raise ProtocolError(f"unexpected {getattr(method, 'name', 'frame')}")
@@ -281,8 +295,9 @@
     """Turns deliveries into requests and answers into settlements. Lives as long as the node; links come and
     go."""
 
-    def __init__(self, config: AmqpConfig, broker: Broker, clock: Clock, counters: Counters, log: Log,
-                 seed: int) -> None:
+    def __init__(
+        self, config: AmqpConfig, broker: Broker, clock: Clock, counters: Counters, log: Log, seed: int
+    ) -> None:
         self.config, self.broker, self.clock, self.counters, self.log = config, broker, clock, counters, log
         self._random = random.Random(seed)
         self._open: dict[str, Delivery] = {}
@@ -319,8 +334,7 @@
         if tag not in session.unsettled:  # answered at once
             self._open.pop(request.id, None)
 
-    def _request(self, queue: QueueConfig, content: Content,
-                 properties: commands.Basic.Properties) -> Request:
+    def _request(self, queue: QueueConfig, content: Content, properties: commands.Basic.Properties) -> Request:
         now = self.clock.now()
         contract = self.broker.classes[queue.cls]
         keyed = contract.repeat.value == "keyed"
@@ -330,12 +344,19 @@
         data = b"".join(content.parts)
         worths = sorted(self._wants)
         return Request(
-            id=f"{self._random.getrandbits(64):016x}", cls=queue.cls, body=data, arrived=now,
+            id=f"{self._random.getrandbits(64):016x}",
+            cls=queue.cls,
+            body=data,
+            arrived=now,
             due=min(now + contract.deadline, self._due(properties, now)),
-            size=queue.held_kb, tenant=queue.team, key=f"amqp {queue.name} {key}" if keyed else None,
+            size=queue.held_kb,
+            tenant=queue.team,
+            key=f"amqp {queue.name} {key}" if keyed else None,
             rank=(worths.index(contract.worth) + 0.5) / len(worths),
-            again=bool(content.deliver.redelivered), watched=False,
-            remembered=self.config.redelivery_window)
+            again=bool(content.deliver.redelivered),
+            watched=False,
+            remembered=self.config.redelivery_window,
+        )
 
     @staticmethod
     def _due(properties: commands.Basic.Properties, now: float) -> float:
@@ -346,8 +367,11 @@
             return told / 1000
         if not properties.expiration:
             return math.inf
-        if not properties.expiration.isascii() or not properties.expiration.isdigit() \
-                or len(properties.expiration) > 15:
+        if (
+            not properties.expiration.isascii()
+            or not properties.expiration.isdigit()
+            or len(properties.expiration) > 15
+        ):
             raise ProtocolError("expiration is no whole number")
         sent = properties.timestamp
         start = sent.timestamp() if isinstance(sent, datetime) else now
@@ -369,9 +393,14 @@
             return
         if properties.reply_to:
             self.counters.add("amqp.replies")
-            session.publish(properties.reply_to, commands.Basic.Properties(
-                correlation_id=properties.correlation_id or properties.message_id,
-                headers={"outcome": answer.verdict.value}), answer.body)
+            session.publish(
+                properties.reply_to,
+                commands.Basic.Properties(
+                    correlation_id=properties.correlation_id or properties.message_id,
+                    headers={"outcome": answer.verdict.value},
+                ),
+                answer.body,
+            )
         served = answer.verdict is Verdict.SERVED
         self.counters.add("amqp.ack" if served else "amqp.reject")
         session.settle(tag, commands.Basic.Ack(tag) if served else commands.Basic.Reject(tag, requeue=False))
@@ -409,8 +438,7 @@
         """Nothing is open on any link, and what was settled has left the process: an acknowledgement that stays
         behind has its delivery come again, to a process that knows nothing of it."""
         unsent = self._link is not None and self._link.get_write_buffer_size() > 0
-        return not unsent and not any(
-            delivery.tag in delivery.session.unsettled for delivery in self._open.values())
+        return not unsent and not any(delivery.tag in delivery.session.unsettled for delivery in self._open.values())
 
     # --- the socket ---
 
@@ -432,6 +460,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """One link; true if it settled anything."""
+
         def write(data: bytes) -> None:
             writer.write(data)
             if writer.transport.get_write_buffer_size() > MAX_UNSENT:
--- a/chutepin/net/control.py
+++ b/chutepin/net/control.py
@@ -22,8 +22,9 @@
 class Reporter:
     """Keeps the node listed: `Ready` while it is well and takes requests."""
 
-    def __init__(self, address: Address | None, name: str, ready: Callable[[], bool],
-                 counters: Counters, seed: int = 0) -> None:
+    def __init__(
+        self, address: Address | None, name: str, ready: Callable[[], bool], counters: Counters, seed: int = 0
+    ) -> None:
         self._chance = random.Random(seed)
         self._address, self._name, self._ready, self._counters = address, name, ready, counters
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -59,9 +60,15 @@
             self._streams = await asyncio.open_connection(address.host, address.port)
         reader, writer = self._streams
         body = json.dumps({"condition": "Ready" if self._ready() else "NotReady"}).encode()
-        request = h11.Request(method="PUT", target=f"/v2/endpoints/{quote(self._name, safe='')}", headers=[
-            ("Host", f"{address.host}:{address.port}"), ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body)))])
+        request = h11.Request(
+            method="PUT",
+            target=f"/v2/endpoints/{quote(self._name, safe='')}",
+            headers=[
+                ("Host", f"{address.host}:{address.port}"),
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(body))),
+            ],
+        )
         for event in (request, h11.Data(data=body), h11.EndOfMessage()):
             writer.write(self._http.send(event) or b"")
         await writer.drain()
--- a/chutepin/net/lines.py
+++ b/chutepin/net/lines.py
@@ -35,8 +35,8 @@
             return words, b""
         if len(self._buffer) < self._length:
             return None
-        raw = bytes(self._buffer[:self._length])
-        del self._buffer[:self._length]
+        raw = bytes(self._buffer[: self._length])
+        del self._buffer[: self._length]
         if not raw.endswith(b"\r\n"):
             raise ProtocolError("a body does not end where its length says")
         words, self._words, self._length = self._words, None, 0
@@ -49,7 +49,7 @@
                 raise ProtocolError("a line is too long")
             return False
         line = bytes(self._buffer[:end])
-        del self._buffer[:end + 2]
+        del self._buffer[: end + 2]
         words = line.decode("utf-8", "replace").split()
         if not words:
             raise ProtocolError("an empty line")
--- a/chutepin/net/records.py
+++ b/chutepin/net/records.py
@@ -69,8 +69,15 @@
     reply then costs no other call. At a node of the last tier, which has no such address, calls end
     unreachable."""
 
-    def __init__(self, address: Address | None, clock: Clock, counters: Counters, log: Log,
-                 most: int, ledger: Ledger | None = None) -> None:
+    def __init__(
+        self,
+        address: Address | None,
+        clock: Clock,
+        counters: Counters,
+        log: Log,
+        most: int,
+        ledger: Ledger | None = None,
+    ) -> None:
         self._address, self._clock, self._counters, self._log = address, clock, counters, log
         self._most = most  # connections
         # Old connections stand beside those that take their places until they have gone.
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -71,8 +71,8 @@
                 self._length = length
             if len(self._buffer) < self._length + 2:
                 return None
-            item = bytes(self._buffer[:self._length + 2])
-            del self._buffer[:self._length + 2]
+            item = bytes(self._buffer[: self._length + 2])
+            del self._buffer[: self._length + 2]
             if not item.endswith(b"\r\n"):
                 raise ProtocolError("a bulk string does not end where its length says")
             self._items.append(item[:-2])
@@ -92,7 +92,7 @@
         digits = bytes(self._buffer[1:end])
         if not digits.isdigit() or int(digits) > most:
             raise ProtocolError("a length is no number or too large")
-        del self._buffer[:end + 2]
+        del self._buffer[: end + 2]
         return int(digits)
 
 
@@ -132,10 +132,19 @@
     if key is not None and len(key) > 64:
         raise ProtocolError("a key is too long")
     return Request(
-        id=id, cls=cls, body=body, arrived=arrived, due=arrived + wait,
-        size=number(fields.get("m", "0"), 2000), tenant=fields.get("t"), subject=fields.get("o"), key=key,
-        rank=number(fields.get("p", "0"), 1), caller=int(number(fields.get("f", "0"))),
-        again=fields.get("r") == "1")
+        id=id,
+        cls=cls,
+        body=body,
+        arrived=arrived,
+        due=arrived + wait,
+        size=number(fields.get("m", "0"), 2000),
+        tenant=fields.get("t"),
+        subject=fields.get("o"),
+        key=key,
+        rank=number(fields.get("p", "0"), 1),
+        caller=int(number(fields.get("f", "0"))),
+        again=fields.get("r") == "1",
+    )
 
 
 def format_answer(tag: bytes, answer: Answer) -> bytes:
@@ -298,9 +307,17 @@
 class Front:
     """All balancers' connections and what their messages mean."""
 
-    def __init__(self, broker: Broker, clock: Clock, counters: Counters, log: Log, sockets: int,
-                 rules: Rules | None = None, ledger: Ledger | None = None,
-                 lifecycle: Lifecycle | None = None) -> None:
+    def __init__(
+        self,
+        broker: Broker,
+        clock: Clock,
+        counters: Counters,
+        log: Log,
+        sockets: int,
+        rules: Rules | None = None,
+        ledger: Ledger | None = None,
+        lifecycle: Lifecycle | None = None,
+    ) -> None:
         self._lifecycle = lifecycle or Lifecycle()
         self.broker, self.clock, self.counters, self.log = broker, clock, counters, log
         self.max_connections = max(8, sockets // 2)
@@ -456,8 +473,14 @@
         """Take over a connection that was admitted."""
         now, key = self.clock.now(), next(self._keys)
         relay = address in self.table.rules.relays
-        connection = Connection(self, lambda data: None, last_used=now, whole_by=now + FIRST_BY, key=key,
-                                proxy=ProxyHead() if relay else None)
+        connection = Connection(
+            self,
+            lambda data: None,
+            last_used=now,
+            whole_by=now + FIRST_BY,
+            key=key,
+            proxy=ProxyHead() if relay else None,
+        )
         self.table.opened(key, now, address)
         self.ledger.parts[PART].held += 1
         self.connections[key] = connection
@@ -469,8 +492,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _live(self, connection: Connection, sock: socket.socket, reader: Reader,
-                    protocol: asyncio.StreamReaderProtocol) -> None:
+    async def _live(
+        self, connection: Connection, sock: socket.socket, reader: Reader, protocol: asyncio.StreamReaderProtocol
+    ) -> None:
         """A connection's life, from its socket to its end."""
         transport: asyncio.Transport | None = None
         try:
@@ -605,8 +629,12 @@
             return
         at = connection.gone_by if connection.closing else connection.whole_by
         if not connection.open and not connection.closing:
-            at = min(at, self._closed_at(connection) if connection.bye_at is not None
-                     else connection.last_used + self._idle_limit(connection))
+            at = min(
+                at,
+                self._closed_at(connection)
+                if connection.bye_at is not None
+                else connection.last_used + self._idle_limit(connection),
+            )
         self._deadlines.set(connection.key, at)
 
     @staticmethod
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -78,15 +78,26 @@
         return None
 
 
-def shares(limit: int, amqp: bool, store: bool, ops: bool = False, cluster: bool = False, agree: bool = False
-           ) -> Ledger:
+def shares(
+    limit: int, amqp: bool, store: bool, ops: bool = False, cluster: bool = False, agree: bool = False
+) -> Ledger:
     """The descriptors shared out: half for the front at most, two fifths for records, as after a
     reload old and new connections stand side by side; what must reconnect has its own."""
-    return Ledger(limit, {
-        "front": (0, max(8, limit // 2)), "records": (max(2, limit // 32), max(8, 2 * limit // 5)),
-        "executor": (2, 2), "control": (1, 1), "amqp": (2 * amqp, 2), "store": (8 * store, 40), "files": (2, 8),
-        "ops": (4 * ops, max(4, min(16, limit // 32)) * ops), "cluster": (8 * cluster, 24 * cluster + 72 * agree)},
-        descriptors() or 0)
+    return Ledger(
+        limit,
+        {
+            "front": (0, max(8, limit // 2)),
+            "records": (max(2, limit // 32), max(8, 2 * limit // 5)),
+            "executor": (2, 2),
+            "control": (1, 1),
+            "amqp": (2 * amqp, 2),
+            "store": (8 * store, 40),
+            "files": (2, 8),
+            "ops": (4 * ops, max(4, min(16, limit // 32)) * ops),
+            "cluster": (8 * cluster, 24 * cluster + 72 * agree),
+        },
+        descriptors() or 0,
+    )
 
 
 def rules_of(setup: AdmissionSetup) -> Rules:
@@ -98,9 +109,17 @@
 def _open_store(setup: StoreSetup, clock: Clock, log: Log) -> Store:
     """A store that can't be opened is a fault of the configuration: the node must not start without it."""
     from .store import Store, StoreError
+
     try:
-        return Store.open(setup.directory, segment_bytes=setup.segment, max_bytes=setup.max, max_memory=setup.memory,
-                          sync_every=setup.sync_every, clock=clock.now, event=log.event)
+        return Store.open(
+            setup.directory,
+            segment_bytes=setup.segment,
+            max_bytes=setup.max,
+            max_memory=setup.memory,
+            sync_every=setup.sync_every,
+            clock=clock.now,
+            event=log.event,
+        )
     except StoreError as error:
         raise ConfigError(f"store.directory: {error}") from None
 
@@ -108,9 +127,16 @@
 class Node:
     """The parts of one node, put together."""
 
-    def __init__(self, config: Config, amqp: AmqpConfig | None = None, read: str | None = None,
-                 record: str | None = None, log_format: LogFormat = LogFormat.PLAIN,
-                 setup: Setup | None = None, setup_path: str | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        amqp: AmqpConfig | None = None,
+        read: str | None = None,
+        record: str | None = None,
+        log_format: LogFormat = LogFormat.PLAIN,
+        setup: Setup | None = None,
+        setup_path: str | None = None,
+    ) -> None:
         self.config = config
         self.setup, self._setup_path = setup or Setup(), setup_path
         self.clock = Clock()
@@ -118,21 +144,44 @@
         self.lifecycle = Lifecycle()
         self.log = Log(self.clock, log_format)
         alarm = LoopAlarm(self.clock)
-        session = Session(self.clock, self.counters, self.log,
-                          config.settings.halt is api.Halt.PAUSE)
+        session = Session(self.clock, self.counters, self.log, config.settings.halt is api.Halt.PAUSE)
         # Descriptors that the process may really have, whatever the configuration allows.
         self.sockets = sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self.ledger = shares(sockets, amqp is not None, self.setup.store is not None, config.ops is not None,
-                             self.setup.cluster is not None, self.setup.agree is not None)
+        self.ledger = shares(
+            sockets,
+            amqp is not None,
+            self.setup.store is not None,
+            config.ops is not None,
+            self.setup.cluster is not None,
+            self.setup.agree is not None,
+        )
         self.executor = ExecutorLink(config.executor, session, self.counters, self.log)
-        self.records = RecordsService(config.records, self.clock, self.counters, self.log,
-                                      max(4, sockets // 5), self.ledger)
-        self.broker = Broker(config.settings, config.seed, self.clock, self.counters, self.log,
-                             self.executor, self.records, alarm, config.memory)
+        self.records = RecordsService(
+            config.records, self.clock, self.counters, self.log, max(4, sockets // 5), self.ledger
+        )
+        self.broker = Broker(
+            config.settings,
+            config.seed,
+            self.clock,
+            self.counters,
+            self.log,
+            self.executor,
+            self.records,
+            alarm,
+            config.memory,
+        )
         self.broker.began = self._began
         alarm.broker = session.notices = self.records.listener = self.broker
-        self.front = Front(self.broker, self.clock, self.counters, self.log, sockets,
-                           rules_of(self.setup.admission), self.ledger, self.lifecycle)
+        self.front = Front(
+            self.broker,
+            self.clock,
+            self.counters,
+            self.log,
+            sockets,
+            rules_of(self.setup.admission),
+            self.ledger,
+            self.lifecycle,
+        )
         self.store: Store | None = None
         if self.setup.store is not None:  # loaded only where an operator switches it on
             self.store = _open_store(self.setup.store, self.clock, self.log)
@@ -140,6 +189,7 @@
         self.listener: Listener | None = None
         if config.ops is not None:  # loaded only where operators call
             from .admin import Calls, Listener
+
             more = {name: call for part in self.subsystems for name, call in part.calls().items()}
             orders = {name: order for part in self.subsystems for name, order in part.orders().items()}
             calls = Calls(self.lifecycle, self.broker.figures, more, orders)
@@ -148,11 +198,13 @@
         if amqp is not None:
             # Loaded only where an operator turns the front on: the platform's nodes need no codec for it.
             from .net.amqp import Consumer
+
             self.consumer = Consumer(amqp, self.broker, self.clock, self.counters, self.log, config.seed)
         self.source: Source | None = None
         self.recorder: Recorder | None = None
         if read is not None or record is not None:  # loaded only where files are read or written
             from .pcap import Recorder, Source
+
             if record is not None:
                 recorder = Recorder(record, self.clock, self.counters, config.listen.port)
                 self.front.tap = self.recorder = recorder
@@ -167,8 +219,7 @@
             self.handover = Handover(path, dialogue, self._passed, self.clock, self.counters, self.log)
             self.handover.serves = self._serve
         self._serving = False
-        self.reporter = Reporter(config.control, config.name, self._ready, self.counters,
-                                 config.seed)
+        self.reporter = Reporter(config.control, config.name, self._ready, self.counters, config.seed)
         self._told = asyncio.Event()
         self._notice = 0.0  # when it was told to leave
 
@@ -177,15 +228,24 @@
         dropped = {"log.dropped": self.log.dropped} if self.log.dropped else {}
         store = {} if self.store is None else {f"store.{name}": count for name, count in self.store.figures().items()}
         parts = {name: count for part in self.subsystems for name, count in part.figures().items()}
-        self.log.always("counters", **dict(sorted(self.counters.counts.items())), **self.front.figures(), **store,
-                        **parts, **dropped)
+        self.log.always(
+            "counters",
+            **dict(sorted(self.counters.counts.items())),
+            **self.front.figures(),
+            **store,
+            **parts,
+            **dropped,
+        )
 
     def print_state(self) -> None:
         """On SIGUSR1: the counters, who is connected most, and the descriptors."""
         self.print_counters()
         addresses, blocks = self.front.table.top(TOP)
-        self.log.always("admission.top", addresses=" ".join(f"{name}={count}" for name, count in addresses),
-                        blocks=" ".join(f"{name}={count}" for name, count in blocks))
+        self.log.always(
+            "admission.top",
+            addresses=" ".join(f"{name}={count}" for name, count in addresses),
+            blocks=" ".join(f"{name}={count}" for name, count in blocks),
+        )
         self.log.always("descriptors", **self.ledger.figures())
 
     def reload(self) -> None:
@@ -200,10 +260,14 @@
             self.log.event("reload.kept_old", why=str(error))
             return
         kept = dataclasses.replace(
-            self.config, executor=config.executor, records=config.records, control=config.control)
+            self.config, executor=config.executor, records=config.records, control=config.control
+        )
         if kept != config:
-            other = [field.name for field in dataclasses.fields(kept)
-                     if getattr(kept, field.name) != getattr(config, field.name)]
+            other = [
+                field.name
+                for field in dataclasses.fields(kept)
+                if getattr(kept, field.name) != getattr(config, field.name)
+            ]
             self.log.event("reload.only_addresses", ignored=",".join(other))
         self.config = kept
         self.executor.move(config.executor)
@@ -238,8 +302,14 @@
         """Serve until told to leave, then leave."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._failed)
-        with signals.heard(loop, {signal.SIGTERM: self._tell, signal.SIGUSR1: lambda at: self.print_state(),
-                                  signal.SIGHUP: lambda at: self.reload()}):
+        with signals.heard(
+            loop,
+            {
+                signal.SIGTERM: self._tell,
+                signal.SIGUSR1: lambda at: self.print_state(),
+                signal.SIGHUP: lambda at: self.reload(),
+            },
+        ):
             return await self._run()
 
     async def _run(self) -> int:
@@ -253,8 +323,12 @@
                 await self.listener.listen(self.config.ops.host, self.config.ops.port)
             except OSError as error:
                 raise ConfigError(f"ops: {error.strerror or error}") from None
-        work: list[Awaitable[None]] = [self._kept(self.executor.run), self._kept(self._sweep),
-                                       self._kept(self._report), *(part.run() for part in self.subsystems)]
+        work: list[Awaitable[None]] = [
+            self._kept(self.executor.run),
+            self._kept(self._sweep),
+            self._kept(self._report),
+            *(part.run() for part in self.subsystems),
+        ]
         if self.handover is not None:
             work.append(self.handover.run())
         if self.consumer is not None:
@@ -279,6 +353,7 @@
         if self.store is None:
             return
         from .store import StoreError
+
         try:
             self.store.close()
         except StoreError as error:
@@ -321,8 +396,9 @@
             await self.front.listen(self.config.listen, Share.LATER if self.handover is not None else Share.NONE)
         if not self._serving:
             self._serving = True
-            self.log.event("serves", name=self.config.name,
-                           listen=f"{self.config.listen.host}:{self.config.listen.port}")
+            self.log.event(
+                "serves", name=self.config.name, listen=f"{self.config.listen.host}:{self.config.listen.port}"
+            )
             for part in self.subsystems:
                 part.start()
         if self.broker.started:
@@ -396,8 +472,8 @@
             await asyncio.sleep(0.02)
         self.front.leave()
         while self.clock.now() < stop + STOP_MARGIN / 3 and (
-                self.broker.in_hand or self.front.connections
-                or (self.consumer is not None and not self.consumer.settled)):
+            self.broker.in_hand or self.front.connections or (self.consumer is not None and not self.consumer.settled)
+        ):
             await asyncio.sleep(0.01)
 
     async def _finish(self) -> None:
@@ -409,8 +485,8 @@
             self.consumer.leave()
         self.front.yields()
         while self.clock.now() < stop + STOP_MARGIN / 3 and (
-                self.broker.unsettled or self.front.connections
-                or (self.consumer is not None and not self.consumer.settled)):
+            self.broker.unsettled or self.front.connections or (self.consumer is not None and not self.consumer.settled)
+        ):
             await asyncio.sleep(0.01)
 
 
--- a/chutepin/ops.py
+++ b/chutepin/ops.py
@@ -91,7 +91,8 @@
         structlog = _structlog()
         self._clock = clock
         self._logger: Any = structlog.wrap_logger(
-            _Sink(), processors=_processors(format), wrapper_class=structlog.BoundLogger)
+            _Sink(), processors=_processors(format), wrapper_class=structlog.BoundLogger
+        )
         self._tokens, self._at = float(LOG_LINES), clock.now()
         self.dropped = 0
 
--- a/chutepin/pcap.py
+++ b/chutepin/pcap.py
@@ -182,8 +182,11 @@
                 continue
             stream = streams[flow] = Stream(report)
         data = stream.segment(tcp.seq, syn, tcp.data)
-        over = bool(tcp.flags & dpkt.tcp.TH_RST) or (
-            bool(tcp.flags & dpkt.tcp.TH_FIN) and not stream.pending) or stream.broken
+        over = (
+            bool(tcp.flags & dpkt.tcp.TH_RST)
+            or (bool(tcp.flags & dpkt.tcp.TH_FIN) and not stream.pending)
+            or stream.broken
+        )
         if data or over:
             yield Chunk(last, flow, data, over)
         if over:
@@ -219,7 +222,7 @@
     def passed(self, key: int, sent: bool, data: bytes) -> None:
         """Bytes that the node sent, or that it read."""
         for at in range(0, len(data) if key in self._numbers else 0, MSS):
-            self._packet(key, sent, dpkt.tcp.TH_ACK | dpkt.tcp.TH_PUSH, data[at:at + MSS])
+            self._packet(key, sent, dpkt.tcp.TH_ACK | dpkt.tcp.TH_PUSH, data[at : at + MSS])
 
     def closed(self, key: int) -> None:
         """A connection is over."""
@@ -236,8 +239,14 @@
         port, *numbers = self._numbers[key]
         ports = (self._port, port) if sent else (port, self._port)
         own, other = (1, 0) if sent else (0, 1)
-        tcp = dpkt.tcp.TCP(sport=ports[0], dport=ports[1], seq=numbers[own],
-                           ack=numbers[other] if flags & dpkt.tcp.TH_ACK else 0, flags=flags, data=data)
+        tcp = dpkt.tcp.TCP(
+            sport=ports[0],
+            dport=ports[1],
+            seq=numbers[own],
+            ack=numbers[other] if flags & dpkt.tcp.TH_ACK else 0,
+            flags=flags,
+            data=data,
+        )
         ends = [socket.inet_aton("127.0.0.2"), socket.inet_aton("127.0.0.1")]
         ip = dpkt.ip.IP(src=ends[own], dst=ends[other], p=dpkt.ip.IP_PROTO_TCP, ttl=64, data=tcp)
         ip.len = len(ip)
--- a/chutepin/serve.py
+++ b/chutepin/serve.py
@@ -10,8 +10,14 @@
 from .ops import LogFormat, say
 
 
-def serve(*, setup: str | None = None, amqp: str | None = None, read: str | None = None,
-          record: str | None = None, log_format: LogFormat | None = None) -> int:
+def serve(
+    *,
+    setup: str | None = None,
+    amqp: str | None = None,
+    read: str | None = None,
+    record: str | None = None,
+    log_format: LogFormat | None = None,
+) -> int:
     """Serve until told to leave.
 
     `setup`, `amqp`, `read` and `record` are paths of the operator's file, the file of queues, a pcap file to take
--- a/chutepin/store/__init__.py
+++ b/chutepin/store/__init__.py
@@ -10,5 +10,4 @@
 from .errors import StoreBusy, StoreClosed, StoreDamaged, StoreError, StoreFailed, StoreFull, StoreLocked
 from .store import Store
 
-__all__ = ["Store", "StoreBusy", "StoreClosed", "StoreDamaged", "StoreError", "StoreFailed", "StoreFull",
-           "StoreLocked"]
+__all__ = ["Store", "StoreBusy", "StoreClosed", "StoreDamaged", "StoreError", "StoreFailed", "StoreFull", "StoreLocked"]
--- a/chutepin/store/codec.py
+++ b/chutepin/store/codec.py
@@ -97,11 +97,19 @@
     size = RECORD_HEAD + key_size + value_size
     if len(data) - at < size:
         return int(size)
-    if crc32c(data[at + 4:at + size]) != crc:
+    if crc32c(data[at + 4 : at + size]) != crc:
         raise Unsound(base + at, "a record's checksum does not match")
     key_at = at + RECORD_HEAD
-    return Record(_KINDS[kind], base + at, size, seq, floor, expires, data[key_at:key_at + key_size],
-                  data[key_at + key_size:at + size])
+    return Record(
+        _KINDS[kind],
+        base + at,
+        size,
+        seq,
+        floor,
+        expires,
+        data[key_at : key_at + key_size],
+        data[key_at + key_size : at + size],
+    )
 
 
 def later_floor(data: bytes, base: int, limit: int) -> int:
@@ -135,7 +143,7 @@
     if len(data) < DATA_AT:
         raise Unsound(len(data), "the file ends inside its head")
     magic, number, stated, born = _HEAD.unpack_from(data)
-    if _CRC.unpack_from(data, _HEAD.size)[0] != crc32c(data[:_HEAD.size]) or magic != _HEAD_MAGIC:
+    if _CRC.unpack_from(data, _HEAD.size)[0] != crc32c(data[: _HEAD.size]) or magic != _HEAD_MAGIC:
         raise Unsound(0, "the segment's head is damaged")
     if (number, stated) != (segment, size):
         raise Unsound(0, f"this is the head of segment {number} of {stated} bytes, not of {segment} of {size}")
@@ -162,8 +170,8 @@
     """The sound ones of both places: a mark is written without a sync, so a cut may leave any of it."""
     marks = []
     for at in MARK_AT:
-        part = data[at:at + _MARK.size + 4]
-        if len(part) == _MARK.size + 4 and _CRC.unpack_from(part, _MARK.size)[0] == crc32c(part[:_MARK.size]):
+        part = data[at : at + _MARK.size + 4]
+        if len(part) == _MARK.size + 4 and _CRC.unpack_from(part, _MARK.size)[0] == crc32c(part[: _MARK.size]):
             magic, segment, end, seq, time = _MARK.unpack_from(part)
             if magic == _MARK_MAGIC:
                 marks.append(Mark(seq, segment, end, time))
@@ -240,7 +248,7 @@
         kind, key_size, bucket, entries, total = _RUN.unpack_from(data, at)
         at += _RUN.size
         size = entries * (key_size + LOCATION.size)
-        found.append(Run(kind, key_size, bucket, entries, total, data[at:at + size]))
+        found.append(Run(kind, key_size, bucket, entries, total, data[at : at + size]))
         at += size
     return found
 
@@ -269,10 +277,15 @@
 
 def encode_manifest(manifest: Manifest) -> bytes:
     """A line with length and checksum, then JSON that a person can read."""
-    body = json.dumps({
-        "generation": manifest.generation, "segment_bytes": manifest.segment_bytes, "next": manifest.next,
-        "mark": [manifest.mark.seq, manifest.mark.segment, manifest.mark.end, manifest.mark.time],
-        "segments": [[s.number, s.end, s.count, s.last] for s in manifest.segments]}).encode()
+    body = json.dumps(
+        {
+            "generation": manifest.generation,
+            "segment_bytes": manifest.segment_bytes,
+            "next": manifest.next,
+            "mark": [manifest.mark.seq, manifest.mark.segment, manifest.mark.end, manifest.mark.time],
+            "segments": [[s.number, s.end, s.count, s.last] for s in manifest.segments],
+        }
+    ).encode()
     return f"{_MANIFEST_HEAD} {len(body):08d} {crc32c(body):08x}\n".encode() + body
 
 
@@ -282,6 +295,10 @@
     if not newline or head != f"{_MANIFEST_HEAD} {len(body):08d} {crc32c(body):08x}".encode():
         raise Unsound(0, "the manifest is damaged or cut")
     raw: Any = json.loads(body)
-    return Manifest(raw["generation"], raw["segment_bytes"], raw["next"], Mark(*raw["mark"]),
-                    tuple(SegmentEntry(*entry) for entry in raw["segments"]))
-
+    return Manifest(
+        raw["generation"],
+        raw["segment_bytes"],
+        raw["next"],
+        Mark(*raw["mark"]),
+        tuple(SegmentEntry(*entry) for entry in raw["segments"]),
+    )
--- a/chutepin/store/engine.py
+++ b/chutepin/store/engine.py
@@ -142,8 +142,10 @@
         """Make what was read back the state of the disk too, before anything is built on it."""
         manifest, book = found.manifest, found.book
         if self.limits.max_bytes < MIN_SEGMENTS * manifest.segment_bytes:
-            raise StoreError(f"max_bytes: less than {MIN_SEGMENTS} times the {manifest.segment_bytes} bytes of a "
-                             f"segment, with which {self.files.label} was laid out")
+            raise StoreError(
+                f"max_bytes: less than {MIN_SEGMENTS} times the {manifest.segment_bytes} bytes of a "
+                f"segment, with which {self.files.label} was laid out"
+            )
         self.limits = replace(self.limits, segment_bytes=manifest.segment_bytes)
         self._begin_book(book)
         self._time = max(found.time, int(self._clock() * 1000))
@@ -215,8 +217,11 @@
     def _let_go(self) -> None:
         with self.lock:
             self.closed = self._barred = True
-            held = [self._marks, *self._handles.values(), *(
-                work.file for work in (self._copying, self._laying) if work is not None)]
+            held = [
+                self._marks,
+                *self._handles.values(),
+                *(work.file for work in (self._copying, self._laying) if work is not None),
+            ]
             self._handles.clear()
             self._marks = self._copying = self._laying = None
         for file in held:
@@ -260,12 +265,18 @@
             if now >= book.due:
                 book.expire(now, 8)
             # The plain case at a glance: a put is the one thing that callers do thousands of times a second.
-            if (book.live + size + key_size + HINT_ENTRY > self.limits.capacity
-                    or book.key_bytes + key_size + KEY_MEMORY * (len(book.index) + 1) > self.limits.max_memory
-                    or size > self._largest):
+            if (
+                book.live + size + key_size + HINT_ENTRY > self.limits.capacity
+                or book.key_bytes + key_size + KEY_MEMORY * (len(book.index) + 1) > self.limits.max_memory
+                or size > self._largest
+            ):
                 self._admit(book, key, size, now)
-            if (active is None or self._held or book.queued > MAX_QUEUE
-                    or active.end + size + SEAL_SIZE > self.limits.segment_bytes) and not self._room(size, waited):
+            if (
+                active is None
+                or self._held
+                or book.queued > MAX_QUEUE
+                or active.end + size + SEAL_SIZE > self.limits.segment_bytes
+            ) and not self._room(size, waited):
                 return False
             book.lay(PUT, key, value, until)
             self.at_rest, self._stirred = False, True
@@ -286,9 +297,14 @@
             if why := self.limits.refuses(book.live, book.memory, adds, memory):
                 self.counts["full"] += 1
                 raise StoreFull(f"{self.files.label}: {why}")
-            even = (len(keys) == len(items) and all(len(key) == key_size for key in keys) and key_size <= MAX_KEY
-                    and not math.isnan(expires) and max(sizes, default=0) <= self._largest
-                    and book.index.keys().isdisjoint(keys))
+            even = (
+                len(keys) == len(items)
+                and all(len(key) == key_size for key in keys)
+                and key_size <= MAX_KEY
+                and not math.isnan(expires)
+                and max(sizes, default=0) <= self._largest
+                and book.index.keys().isdisjoint(keys)
+            )
             if not even:
                 for done, (key, value) in enumerate(items):
                     if not self.put(key, value, expires, waited):
@@ -301,7 +317,7 @@
                     break
                 count = book.lay_many(items[done:] if done else items, until)
                 self._puts += count
-                self._put_bytes += sum(sizes[done:done + count])
+                self._put_bytes += sum(sizes[done : done + count])
                 done += count
                 self._stir()
             return done
@@ -476,8 +492,9 @@
             self.check()
             self._stirred = False
             more = self.book.expire(self.now(), SWEEP)
-        done = self._lay_out() or self._list_sealed() or (
-            self._copy(budget) if self._copying else self._choose()) or more
+        done = (
+            self._lay_out() or self._list_sealed() or (self._copy(budget) if self._copying else self._choose()) or more
+        )
         with self.lock:
             self.at_rest = not done and not self.book.queue and not self._stirred
         return done
@@ -578,8 +595,9 @@
         """Replace the manifest. Raises OSError for a full disk, with the old one in force; StoreFailed else."""
         with self.lock:
             entries = [self._entry(segment) for segment in segments]
-            manifest = Manifest(self._generation + 1, self.limits.segment_bytes, self._next, self._reached(),
-                                tuple(entries))
+            manifest = Manifest(
+                self._generation + 1, self.limits.segment_bytes, self._next, self._reached(), tuple(entries)
+            )
         try:
             file = self.files.create(MANIFEST + NEW)
             try:
@@ -641,15 +659,20 @@
             self._stir()
 
     def _facts(self) -> list[Facts]:
-        return [Facts(s.number, s.data, s.live, s.whole and not s.covers and not s.damaged, s.dead)
-                for s in self.book.segments.values()]
+        return [
+            Facts(s.number, s.data, s.live, s.whole and not s.covers and not s.damaged, s.dead)
+            for s in self.book.segments.values()
+        ]
 
     def _choose(self) -> bool:
         """Carry out what the planner says next."""
         with self.lock:
             active = self.book.active
-            if self.compact_before and active is not None and (
-                    active.dead and active.number < self.compact_before and self.book.spares):
+            if (
+                self.compact_before
+                and active is not None
+                and (active.dead and active.number < self.compact_before and self.book.spares)
+            ):
                 self.book.roll()
         if self.compact_before:
             self.flush()  # what was sealed just now is not durable yet: the plan would miss it
@@ -750,9 +773,18 @@
         """Sizes in bytes and counts, for an operator."""
         with self.lock:
             book = self.book
-            return {"keys": len(book.index), "live_bytes": book.live, "disk_bytes": book.disk,
-                    "capacity_bytes": self.limits.capacity, "max_bytes": self.limits.max_bytes,
-                    "memory_bytes": book.memory, "max_memory": self.limits.max_memory,
-                    "segments": len(book.segments), "segment_bytes": self.limits.segment_bytes,
-                    "queued_bytes": self.book.queued, "put": self._puts,
-                    "put_bytes": self._put_bytes, **self.counts}
+            return {
+                "keys": len(book.index),
+                "live_bytes": book.live,
+                "disk_bytes": book.disk,
+                "capacity_bytes": self.limits.capacity,
+                "max_bytes": self.limits.max_bytes,
+                "memory_bytes": book.memory,
+                "max_memory": self.limits.max_memory,
+                "segments": len(book.segments),
+                "segment_bytes": self.limits.segment_bytes,
+                "queued_bytes": self.book.queued,
+                "put": self._puts,
+                "put_bytes": self._put_bytes,
+                **self.counts,
+            }
--- a/chutepin/store/errors.py
+++ b/chutepin/store/errors.py
@@ -33,7 +33,9 @@
     """Something that was durable is not as it was written. `file`, `offset` (bytes) and `what` say where and how."""
 
     def __init__(self, directory: str, file: str, offset: int, what: str) -> None:
-        super().__init__(f"{directory}/{file} at byte {offset}: {what}; "
-                         f"`python -m chutepin store check {directory}` lists all damage, "
-                         f"`store repair` salvages what can be read into a new directory")
+        super().__init__(
+            f"{directory}/{file} at byte {offset}: {what}; "
+            f"`python -m chutepin store check {directory}` lists all damage, "
+            f"`store repair` salvages what can be read into a new directory"
+        )
         self.directory, self.file, self.offset, self.what = directory, file, offset, what
--- a/chutepin/store/files.py
+++ b/chutepin/store/files.py
@@ -100,7 +100,7 @@
     def write(self, offset: int, buffers: Sequence[bytes]) -> None:
         """Write all; a short write is gone on with, one of nothing is an error."""
         for first in range(0, len(buffers), MAX_VECTOR):
-            part: Sequence[bytes | memoryview] = buffers[first:first + MAX_VECTOR]
+            part: Sequence[bytes | memoryview] = buffers[first : first + MAX_VECTOR]
             left = sum(map(len, part))
             while left:
                 done = os.pwritev(self._descriptor, part, offset)
--- a/chutepin/store/inspect.py
+++ b/chutepin/store/inspect.py
@@ -133,9 +133,14 @@
     try:
         torn = Reader(files).read(hints=False)
         if torn is not None and torn.torn and torn.tail is not None:
-            found.findings.append(Finding(segment_name(torn.tail.number), torn.tail.end,
-                                          f"{torn.torn} bytes of a batch that was never acknowledged; the next "
-                                          "opening drops them", loss=False))
+            found.findings.append(
+                Finding(
+                    segment_name(torn.tail.number),
+                    torn.tail.end,
+                    f"{torn.torn} bytes of a batch that was never acknowledged; the next opening drops them",
+                    loss=False,
+                )
+            )
     except StoreDamaged as error:
         if not any(f.loss and f.file == error.file and f.offset == error.offset for f in found.findings):
             found.findings.append(Finding(error.file, error.offset, error.what))
@@ -213,13 +218,28 @@
     book = found.book
     book.expire_all(found.time)
     return {
-        "keys": len(book.index), "live_bytes": book.live, "disk_bytes": book.disk, "memory_bytes": book.memory,
-        "segment_bytes": book.segment_bytes, "generation": found.manifest.generation, "last_seq": book.seq,
-        "torn_bytes": found.torn, "hints_to_rebuild": len(found.rebuilt),
-        "segments": [{
-            "number": segment.number, "records": segment.count, "telling": segment.telling,
-            "data_bytes": segment.data, "live_bytes": segment.live, "sealed": segment.sealed,
-            "covers": sorted(segment.covers)} for segment in book.segments.values()]}
+        "keys": len(book.index),
+        "live_bytes": book.live,
+        "disk_bytes": book.disk,
+        "memory_bytes": book.memory,
+        "segment_bytes": book.segment_bytes,
+        "generation": found.manifest.generation,
+        "last_seq": book.seq,
+        "torn_bytes": found.torn,
+        "hints_to_rebuild": len(found.rebuilt),
+        "segments": [
+            {
+                "number": segment.number,
+                "records": segment.count,
+                "telling": segment.telling,
+                "data_bytes": segment.data,
+                "live_bytes": segment.live,
+                "sealed": segment.sealed,
+                "covers": sorted(segment.covers),
+            }
+            for segment in book.segments.values()
+        ],
+    }
 
 
 def dump(files: Files, every: bool = False) -> Iterator[Record]:
@@ -294,5 +314,3 @@
             result.kept += 1
         store.commit()
     return result
-
-
--- a/chutepin/store/recover.py
+++ b/chutepin/store/recover.py
@@ -226,15 +226,21 @@
         book = found.book
         for segment, why, _, _ in open_ones:
             if segment.number == found.mark.segment and segment.end < found.mark.end:
-                raise self._damaged(segment_name(segment.number), segment.end,
-                                    f"{why}, while all up to byte {found.mark.end} had been acknowledged")
+                raise self._damaged(
+                    segment_name(segment.number),
+                    segment.end,
+                    f"{why}, while all up to byte {found.mark.end} had been acknowledged",
+                )
         if found.mark.segment >= found.manifest.next:
             raise self._damaged(MANIFEST, 0, f"older than the log: segment {found.mark.segment} had been acknowledged")
         used = [one for one in open_ones if one[0].count or one[2]]
         for segment, why, _, _ in used[:-1]:
             if not segment.sealed:
-                raise self._damaged(segment_name(segment.number), segment.end,
-                                    f"{why or 'no seal'}, while the log goes on in a later segment")
+                raise self._damaged(
+                    segment_name(segment.number),
+                    segment.end,
+                    f"{why or 'no seal'}, while the log goes on in a later segment",
+                )
         if used:
             segment, found.why, found.torn, proved = used[-1]
             found.tail = segment
--- a/chutepin/store/store.py
+++ b/chutepin/store/store.py
@@ -47,9 +47,18 @@
         self._thread.start()
 
     @classmethod
-    def open(cls, directory: str | Path, *, segment_bytes: int | None = None, max_bytes: int = MAX_BYTES,
-             max_memory: int = MAX_MEMORY, sync_every: float = SYNC_EVERY, clock: Callable[[], float] = time.time,
-             event: Event | None = None, files: Files | None = None) -> Store:
+    def open(
+        cls,
+        directory: str | Path,
+        *,
+        segment_bytes: int | None = None,
+        max_bytes: int = MAX_BYTES,
+        max_memory: int = MAX_MEMORY,
+        sync_every: float = SYNC_EVERY,
+        clock: Callable[[], float] = time.time,
+        event: Event | None = None,
+        files: Files | None = None,
+    ) -> Store:
         """Open a store, or begin one where the directory holds none.
 
         Sizes are bytes: of one segment (at most an eighth of `max_bytes`; kept from the beginning of a store on), of
@@ -61,15 +70,17 @@
         size = min(segment_bytes or min(MAX_SEGMENT, max_bytes // 32), max_bytes // MIN_SEGMENTS)
         if not MIN_SEGMENT <= size < 2**31:
             raise StoreError(f"segment_bytes: {size}; from {MIN_SEGMENT} to {2**31 - 1}, and an eighth of max_bytes")
-        engine = Engine.open(files or RealFiles(directory), Limits(size, max_bytes, max_memory), clock,
-                             event or Log(Clock()).event)
+        engine = Engine.open(
+            files or RealFiles(directory), Limits(size, max_bytes, max_memory), clock, event or Log(Clock()).event
+        )
         return cls(engine, sync_every)
 
     def __enter__(self) -> Store:
         return self
 
-    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                 trace: TracebackType | None) -> None:
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
         self.close()
 
     # --- reading and writing ---
@@ -199,8 +210,10 @@
                 if self._error is not None:
                     raise self._error
                 if self._engine.at_rest:
-                    raise StoreFull(f"{self._engine.files.label}: "
-                                    f"{self._engine.no_room or 'no room to copy to'}; compaction can't end")
+                    raise StoreFull(
+                        f"{self._engine.files.label}: "
+                        f"{self._engine.no_room or 'no room to copy to'}; compaction can't end"
+                    )
                 self._changed.wait()
         if self._engine.damage is not None:
             raise self._engine.damage
--- a/chutepin/subsystem.py
+++ b/chutepin/subsystem.py
@@ -52,15 +52,18 @@
         """The process is told to end and will soon."""
 
 
-def subsystems(config: Config, setup: Setup, ledger: Ledger, counters: Counters, log: Log,
-               store: Store | None) -> list[Subsystem]:
+def subsystems(
+    config: Config, setup: Setup, ledger: Ledger, counters: Counters, log: Log, store: Store | None
+) -> list[Subsystem]:
     """Those that the operator's file asks for."""
     found: list[Subsystem] = []
     if setup.cluster is not None:
         from .cluster.subsystem import Cluster
+
         cluster = Cluster(setup.cluster, config.name, config.seed, ledger, counters, log, store)
         found.append(cluster)
         if setup.agree is not None and store is not None:
             from .agree.subsystem import Agreement
+
             found.append(Agreement(setup.agree, config.name, cluster, store, ledger, counters, log))
     return found
--- a/poststall/api.py
+++ b/poststall/api.py
@@ -137,8 +137,19 @@
             raise SettingsError("cores: at least one is needed")
         if not 0 < self.cold_from <= 1:
             raise SettingsError("cold_from: must be above 0 and at most 1")
-        for name in ("warm_after", "answer_slack", "drain_grace", "key_memory", "share_for", "tick",
-                     "said_for", "idle_max", "max_hold_off", "calls_out", "linger"):
+        for name in (
+            "warm_after",
+            "answer_slack",
+            "drain_grace",
+            "key_memory",
+            "share_for",
+            "tick",
+            "said_for",
+            "idle_max",
+            "max_hold_off",
+            "calls_out",
+            "linger",
+        ):
             if not getattr(self, name) >= 0:
                 raise SettingsError(f"{name}: must not be negative")
 
@@ -331,8 +342,20 @@
 
 
 Action = (
-    Run | Stop | Refuse | Fail | Call | SkipCall | KeepKey | ForgetKey | Share | SetHealth | Announce
-    | IdleTimeout | SetTimer | Log
+    Run
+    | Stop
+    | Refuse
+    | Fail
+    | Call
+    | SkipCall
+    | KeepKey
+    | ForgetKey
+    | Share
+    | SetHealth
+    | Announce
+    | IdleTimeout
+    | SetTimer
+    | Log
 )
 
 
--- a/poststall/wire.py
+++ b/poststall/wire.py
@@ -16,12 +16,23 @@
 
 
 _REPEAT = {"pure": api.Repeat.SAFE, "token": api.Repeat.KEYED, "side_effect": api.Repeat.UNSAFE}
-_SIGNAL = {"none": api.Signal.NONE, "threshold": api.Signal.LEVEL, "window": api.Signal.CREDIT,
-           "share_of": api.Signal.WEIGHT}
+_SIGNAL = {
+    "none": api.Signal.NONE,
+    "threshold": api.Signal.LEVEL,
+    "window": api.Signal.CREDIT,
+    "share_of": api.Signal.WEIGHT,
+}
 _HALT = {"none": api.Halt.NONE, "abort": api.Halt.DROP, "suspend": api.Halt.PAUSE}
-_OUTCOME = {"done": api.Outcome.OK, "err": api.Outcome.ERROR, "busy": api.Outcome.BUSY,
-            "etimedout": api.Outcome.TIMEOUT, "econnrefused": api.Outcome.CONNECT_FAILED,
-            "econnreset": api.Outcome.RESET, "ecanceled": api.Outcome.CANCELLED, "skipped": api.Outcome.MOOT}
+_OUTCOME = {
+    "done": api.Outcome.OK,
+    "err": api.Outcome.ERROR,
+    "busy": api.Outcome.BUSY,
+    "etimedout": api.Outcome.TIMEOUT,
+    "econnrefused": api.Outcome.CONNECT_FAILED,
+    "econnreset": api.Outcome.RESET,
+    "ecanceled": api.Outcome.CANCELLED,
+    "skipped": api.Outcome.MOOT,
+}
 
 
 def parse_line(line: str) -> Obj:
@@ -100,12 +111,27 @@
 
 
 # The names that the settings have outside, of what is checked inside under another.
-_NAMES = {"classes": "categories", "aim": "slo", "cores": "familyInfo.cpus", "memory": "familyInfo.memoryKb",
-          "crowd": "safety.fallMultiple", "crowd_over": "safety.overloadFor", "run_factor": "familyInfo.runFactor",
-          "calls_over": "familyInfo.callsOver", "cold_from": "safety.coldFrom", "warm_after": "safety.warmAfter",
-          "answer_slack": "safety.answerSlack", "drain_grace": "safety.drainGrace", "key_memory": "familyInfo.kbPerKey",
-          "share_for": "familyInfo.shareFor", "said_for": "familyInfo.saidFor", "idle_max": "familyInfo.keepaliveMax",
-          "max_hold_off": "caps.maxRetryAfter", "calls_out": "familyInfo.callsOut", "linger": "familyInfo.linger"}
+_NAMES = {
+    "classes": "categories",
+    "aim": "slo",
+    "cores": "familyInfo.cpus",
+    "memory": "familyInfo.memoryKb",
+    "crowd": "safety.fallMultiple",
+    "crowd_over": "safety.overloadFor",
+    "run_factor": "familyInfo.runFactor",
+    "calls_over": "familyInfo.callsOver",
+    "cold_from": "safety.coldFrom",
+    "warm_after": "safety.warmAfter",
+    "answer_slack": "safety.answerSlack",
+    "drain_grace": "safety.drainGrace",
+    "key_memory": "familyInfo.kbPerKey",
+    "share_for": "familyInfo.shareFor",
+    "said_for": "familyInfo.saidFor",
+    "idle_max": "familyInfo.keepaliveMax",
+    "max_hold_off": "caps.maxRetryAfter",
+    "calls_out": "familyInfo.callsOut",
+    "linger": "familyInfo.linger",
+}
 
 
 def _told(error: str) -> str:
@@ -121,13 +147,18 @@
         raise WireError("setting 'categories' is malformed")
     deadline = number(raw, "deadline")
     return api.RequestClass(
-        name=text(raw, "name"), repeat=_choice(raw, "idempotency", _REPEAT),
+        name=text(raw, "name"),
+        repeat=_choice(raw, "idempotency", _REPEAT),
         worth=number(raw, "importance", 1.0),
         # An aim past the deadline is no contradiction: whatever is answered by then is in time.
-        aim=min(deadline, number(raw, "slo", deadline)), deadline=deadline, late_worth=number(raw, "lateWorth", 0.0),
-        window=number(raw, "window", 0.0), calls=_flag(_row(info, "classCalls", index), "classCalls"),
+        aim=min(deadline, number(raw, "slo", deadline)),
+        deadline=deadline,
+        late_worth=number(raw, "lateWorth", 0.0),
+        window=number(raw, "window", 0.0),
+        calls=_flag(_row(info, "classCalls", index), "classCalls"),
         skip_worth=number(_row(info, "degradedWorth", index), "degradedWorth", 0.0),
-        aim_stretch=number(raw, "aimStretch", 0.0))
+        aim_stretch=number(raw, "aimStretch", 0.0),
+    )
 
 
 def _tenant(raw: Any) -> api.Tenant:
@@ -147,24 +178,37 @@
         return api.Settings(
             classes=tuple(_class(raw, index, info) for index, raw in enumerate(classes)),
             tenants=tuple(_tenant(raw) for raw in _part(env, "tenants", list)),
-            cores=int(number(info, "cpus")), memory=number(info, "memoryKb"),
-            servers=_present(env, "servers"), callers=_present(info, "senders"),
-            cold=_flag(info, "cold"), cold_from=number(safety, "coldFrom", 1.0),
-            warm_after=number(safety, "warmAfter", 0.0), answer_slack=number(safety, "answerSlack", 0.0),
-            drain_grace=number(safety, "drainGrace", 0.0), crowd=number(safety, "fallMultiple", 8.0),
-            crowd_over=number(safety, "overloadFor", 1.0), run_factor=number(info, "runFactor", 1.0),
-            key_memory=number(info, "kbPerKey", 0.0), share_for=number(info, "shareFor", 0.0),
-            halt=_choice(info, "halt", _HALT, "none"), signal=_choice(info, "signal", _SIGNAL, "none"),
-            said_for=number(info, "saidFor", 1.0), deep_checks=_flag(info, "deepChecks"),
+            cores=int(number(info, "cpus")),
+            memory=number(info, "memoryKb"),
+            servers=_present(env, "servers"),
+            callers=_present(info, "senders"),
+            cold=_flag(info, "cold"),
+            cold_from=number(safety, "coldFrom", 1.0),
+            warm_after=number(safety, "warmAfter", 0.0),
+            answer_slack=number(safety, "answerSlack", 0.0),
+            drain_grace=number(safety, "drainGrace", 0.0),
+            crowd=number(safety, "fallMultiple", 8.0),
+            crowd_over=number(safety, "overloadFor", 1.0),
+            run_factor=number(info, "runFactor", 1.0),
+            key_memory=number(info, "kbPerKey", 0.0),
+            share_for=number(info, "shareFor", 0.0),
+            halt=_choice(info, "halt", _HALT, "none"),
+            signal=_choice(info, "signal", _SIGNAL, "none"),
+            said_for=number(info, "saidFor", 1.0),
+            deep_checks=_flag(info, "deepChecks"),
             idle_max=number(info, "keepaliveMax", 30.0),
             max_hold_off=number(caps, "maxRetryAfter", 0.0) if _flag(caps, "retryAfter") else 0.0,
-            calls_below=info.get("downstream", "none") != "none", calls_out=number(info, "callsOut", 0.0),
-            calls_over=number(info, "callsOver", 1.0), linger=number(info, "linger", 0.0),
+            calls_below=info.get("downstream", "none") != "none",
+            calls_out=number(info, "callsOut", 0.0),
+            calls_over=number(info, "callsOver", 1.0),
+            linger=number(info, "linger", 0.0),
             gauges=tuple(str(name) for name in _part(info, "meters", list)),
             passes_deadline=_flag(info, "passesDeadline", True),
             marks_retries=_flag(_part(env, "clientHabits", dict), "marksRetry"),
-            worth_by_work=env.get("worthBy") == "work", over_share_worth=number(env, "overShareWorth", 1.0),
-            tick=number(env, "tick", 0.001))
+            worth_by_work=env.get("worthBy") == "work",
+            over_share_worth=number(env, "overShareWorth", 1.0),
+            tick=number(env, "tick", 0.001),
+        )
     except api.SettingsError as error:
         raise WireError(_told(str(error))) from None
 
@@ -172,11 +216,19 @@
 def _request(m: Obj) -> api.Request:
     attrs = int(number(m, "attrs", 0))
     return api.Request(
-        id=text(m, "tid"), cls=text(m, "band"),
-        unread=number(m, "unreadFor", 0.0), size=number(m, "sizeKb", 0.0),
-        tenant=_optional_text(m, "team"), key=_optional_text(m, "object"), due=number(m, "due", 0.0) or None,
-        hint=(number(m, "weightHint", 0.0) or None) if attrs & 1 else None, rank=number(m, "precedence", 0.0),
-        caller=int(number(m, "by", 0)), repeats=_optional_text(m, "dupOf"), again=bool(attrs & 2))
+        id=text(m, "tid"),
+        cls=text(m, "band"),
+        unread=number(m, "unreadFor", 0.0),
+        size=number(m, "sizeKb", 0.0),
+        tenant=_optional_text(m, "team"),
+        key=_optional_text(m, "object"),
+        due=number(m, "due", 0.0) or None,
+        hint=(number(m, "weightHint", 0.0) or None) if attrs & 1 else None,
+        rank=number(m, "precedence", 0.0),
+        caller=int(number(m, "by", 0)),
+        repeats=_optional_text(m, "dupOf"),
+        again=bool(attrs & 2),
+    )
 
 
 def _returned(m: Obj) -> api.CallReturned:
--- a/tests/agree_mutants.py
+++ b/tests/agree_mutants.py
@@ -56,8 +56,9 @@
 class SessionsForgotten(Member):
     """Which proposals were agreed is no part of the state that is kept."""
 
-    def __init__(self, name: str, first: Voters, durable: Durable, machine: Machine, now: float, rng: random.Random,
-                 times: Times) -> None:
+    def __init__(
+        self, name: str, first: Voters, durable: Durable, machine: Machine, now: float, rng: random.Random, times: Times
+    ) -> None:
         super().__init__(name, first, durable, machine, now, rng, times)
         self.replica = _Forgetful(machine)
 
@@ -72,8 +73,9 @@
 class LostDiskVotes(Identity):
     """A voter needs nobody to have met its store."""
 
-    def __init__(self, name: str, voters: tuple[str, ...], born: str, standing: Standing | None,
-                 met: dict[str, str]) -> None:
+    def __init__(
+        self, name: str, voters: tuple[str, ...], born: str, standing: Standing | None, met: dict[str, str]
+    ) -> None:
         super().__init__(name, voters, born, standing, met)
         if name in voters:
             self.standing = Standing.SETTLED
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,7 @@
 WORKERS = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
 SHARE = len(standins.PORTS) // WORKERS
 
-standins.PORTS = standins.PORTS[WORKER * SHARE:(WORKER + 1) * SHARE]
+standins.PORTS = standins.PORTS[WORKER * SHARE : (WORKER + 1) * SHARE]
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -18,8 +18,14 @@
 
 ROOT = Path(__file__).parent.parent
 # The same steps every time: CI must give the same verdict on the same text.
-STEPS = settings(derandomize=True, database=None, deadline=None, max_examples=60, stateful_step_count=30,
-                 suppress_health_check=list(HealthCheck))
+STEPS = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=30,
+    suppress_health_check=list(HealthCheck),
+)
 WINDOW = 2.0
 
 ENV: dict[str, Any] = json.loads(json.dumps(EXAMPLE["settings"]))
@@ -93,18 +99,27 @@
     def __init__(self, env: dict[str, Any] = ENV, memory: int = 64 * 2**20, up: bool = True) -> None:
         self.hand, self.ports, self.counters = Hand(), Ports(), Counters()
         ports = self.ports
-        self.broker = Broker(wire.parse_settings(env), 1, self.hand.clock, self.counters,
-                             Log(self.hand.clock), ports, ports, ports, memory)
+        self.broker = Broker(
+            wire.parse_settings(env),
+            1,
+            self.hand.clock,
+            self.counters,
+            Log(self.hand.clock),
+            ports,
+            ports,
+            ports,
+            memory,
+        )
         if up:
             self.broker.welcome(False, self.hand.time)
 
-    def pick(self, id: str, cls: str = "status-read", key: str | None = None, wait: float = 7.0,
-             **more: Any) -> None:
+    def pick(self, id: str, cls: str = "status-read", key: str | None = None, wait: float = 7.0, **more: Any) -> None:
         now = self.hand.time
         body = more.pop("body", b"body of " + (key or id).encode())
         tenant = more.pop("tenant", "bernard-lodge")
-        self.broker.pick(Request(id, cls, body, now, now + wait, size=24.5, tenant=tenant, key=key, **more),
-                         self.ports.caller(id))
+        self.broker.pick(
+            Request(id, cls, body, now, now + wait, size=24.5, tenant=tenant, key=key, **more), self.ports.caller(id)
+        )
 
     def end(self, id: str, end: End = End.OK) -> None:
         self.broker.ended(id, end, 0.2, b"result of " + id.encode() if end is End.OK else b"")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -111,5 +111,14 @@
 
 
 ALL: tuple[type[Detector], ...] = (
-    NoRefutation, IncarnationNotRaised, NoHelpers, NoLocalHealth, UnboundedRepeats, NoTimeToRefute, ForgetsTheDead,
-    EveryLinkIsWell, SlowToAccuse, TakesBackNews)
+    NoRefutation,
+    IncarnationNotRaised,
+    NoHelpers,
+    NoLocalHealth,
+    UnboundedRepeats,
+    NoTimeToRefute,
+    ForgetsTheDead,
+    EveryLinkIsWell,
+    SlowToAccuse,
+    TakesBackNews,
+)
--- a/tests/powercut.py
+++ b/tests/powercut.py
@@ -27,7 +27,7 @@
     def apply(self, offset: int, data: bytes, to: bytearray) -> None:
         if len(to) < offset + len(data):
             to.extend(bytes(offset + len(data) - len(to)))
-        to[offset:offset + len(data)] = data
+        to[offset : offset + len(data)] = data
 
 
 class SimFile:
@@ -35,7 +35,7 @@
         self._files, self._inode, self._name = files, inode, name
 
     def read(self, offset: int, length: int) -> bytes:
-        return bytes(self._inode.seen[offset:offset + length])
+        return bytes(self._inode.seen[offset : offset + length])
 
     def write(self, offset: int, buffers: Sequence[bytes]) -> None:
         data = b"".join(buffers)
@@ -44,8 +44,8 @@
             self._files.operate("write", self._name)
         except OSError:
             # A write that failed may have got half through.
-            self._inode.pending[-1] = (offset, data[:len(data) // 2])
-            self._inode.apply(offset, data[:len(data) // 2], self._inode.seen)
+            self._inode.pending[-1] = (offset, data[: len(data) // 2])
+            self._inode.apply(offset, data[: len(data) // 2], self._inode.seen)
             raise
         self._inode.apply(offset, data, self._inode.seen)
 
@@ -160,7 +160,7 @@
                         if _kept(how):
                             kept = sector
                             if isinstance(how, random.Random) and how.random() < 0.2:
-                                kept = sector[:how.randrange(len(sector) + 1)]
+                                kept = sector[: how.randrange(len(sector) + 1)]
                             inode.apply(at, kept, data)
                 copies[id(inode)] = Inode(data, bytearray(data))
             restart.durable[name] = restart.seen[name] = copies[id(inode)]
@@ -187,6 +187,6 @@
     pieces, at = [], 0
     while at < len(data):
         size = min(512 - (offset + at) % 512, len(data) - at)
-        pieces.append((offset + at, data[at:at + size]))
+        pieces.append((offset + at, data[at : at + size]))
         at += size
     return pieces
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -104,8 +104,19 @@
 
 
 def test_ten_thousand_connects_and_closes_leave_no_state() -> None:
-    front = Front(Rules(per_address=5, per_block=50, rate_address=10, rate_block=100, reserve=0.2, known=LISTED,
-                        earn_requests=3, remembered=512), 64)
+    front = Front(
+        Rules(
+            per_address=5,
+            per_block=50,
+            rate_address=10,
+            rate_block=100,
+            reserve=0.2,
+            known=LISTED,
+            earn_requests=3,
+            remembered=512,
+        ),
+        64,
+    )
     pick = random.Random(1)
     most = 0
     for number in range(10_000):
@@ -215,9 +226,18 @@
 
     @initialize(reserve=st.sampled_from([0.0, 0.3]), caps=st.booleans(), share=st.sampled_from([0.3, 1.0]))
     def begin(self, reserve: float, caps: bool, share: float) -> None:
-        self.chosen = Rules(per_address=4 * caps, per_block=9 * caps, rate_address=3.0 * caps, new_share=share,
-                           reserve=reserve, known=LISTED, earn_requests=4, earn_over=1.0, earned_age=5.0,
-                           remembered=16)
+        self.chosen = Rules(
+            per_address=4 * caps,
+            per_block=9 * caps,
+            rate_address=3.0 * caps,
+            new_share=share,
+            reserve=reserve,
+            known=LISTED,
+            earn_requests=4,
+            earn_over=1.0,
+            earned_age=5.0,
+            remembered=16,
+        )
         self.front = Front(self.chosen, 20)
         self.addresses = [pack(f"203.0.{i // 3}.{i}") for i in range(9)] + [KNOWN]
         self.busy = set[int]()
@@ -280,8 +300,9 @@
         assert table._new == sum(entry.use is Use.NEW for entry in strangers)
         assert sum(table.by_block.values()) == len(strangers)
         assert sum(map(len, table.by_address.values())) == len(table.entries)
-        queued = {key for kind, queue in table._queues.items() for last, key in queue
-                  if table._queued(*kind, last, key)}
+        queued = {
+            key for kind, queue in table._queues.items() for last, key in queue if table._queued(*kind, last, key)
+        }
         assert queued == set(table.entries) - self.busy
         assert table.remembered <= 5 * 16
 
@@ -293,8 +314,10 @@
 # --- the ledger and deadlines ---
 
 
-@given(st.lists(st.tuples(st.sampled_from(["front", "records", "executor"]), st.booleans()), max_size=120),
-       st.integers(0, 30))
+@given(
+    st.lists(st.tuples(st.sampled_from(["front", "records", "executor"]), st.booleans()), max_size=120),
+    st.integers(0, 30),
+)
 def test_no_part_takes_what_another_has_reserved(steps: list[tuple[str, bool]], other: int) -> None:
     ledger = Ledger(64, {"front": (0, 32), "records": (6, 20), "executor": (2, 2)}, other)
     for name, take in steps:
@@ -336,19 +359,28 @@
     data, head = proxy_head(source, target, 5000, 7000) + rest, ProxyHead()
     for at in range(0, len(data), size):
         if head.done:
-            head.rest += data[at:at + size]
+            head.rest += data[at : at + size]
         else:
-            head.feed(data[at:at + size])
+            head.feed(data[at : at + size])
     assert head.done and head.address == source and head.rest == rest
 
 
 GOOD = proxy_head(STRANGER, KNOWN, 1, 2)
 
 
-@pytest.mark.parametrize("data", [
-    b"*1\r\n$4\r\nPING\r\n", b"PROXY TCP4 203.0.113.7 10.0.0.5 1 2\r\n", GOOD[:12] + b"\x11" + GOOD[13:],
-    GOOD[:12] + b"\x22" + GOOD[13:], GOOD[:13] + b"\x12" + GOOD[14:], GOOD[:14] + b"\x04\x00",
-    GOOD[:14] + b"\x00\x04" + GOOD[16:20], b"\r\n\r\n\0\r\nQUIT\r"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"*1\r\n$4\r\nPING\r\n",
+        b"PROXY TCP4 203.0.113.7 10.0.0.5 1 2\r\n",
+        GOOD[:12] + b"\x11" + GOOD[13:],
+        GOOD[:12] + b"\x22" + GOOD[13:],
+        GOOD[:13] + b"\x12" + GOOD[14:],
+        GOOD[:14] + b"\x04\x00",
+        GOOD[:14] + b"\x00\x04" + GOOD[16:20],
+        b"\r\n\r\n\0\r\nQUIT\r",
+    ],
+)
 def test_a_forged_or_malformed_proxy_head_is_an_error(data: bytes) -> None:
     with pytest.raises(ProxyError):
         ProxyHead().feed(data)
@@ -398,6 +430,7 @@
 
 def test_without_descriptors_newcomers_are_told_and_service_is_back_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """The process has none left but the spare one: modelled by an accept that fails while the spare is held."""
+
     async def test(acceptor: Acceptor, gate: Gate, counters: Counters) -> None:
         whole, short = socket.socket.accept, [True]
 
@@ -422,7 +455,8 @@
 
 
 def test_where_even_the_spare_is_gone_accepting_rests_and_a_free_descriptor_ends_that(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def test(acceptor: Acceptor, gate: Gate, counters: Counters) -> None:
         whole, opened, short, tries = socket.socket.accept, os.open, [True], [0]
 
@@ -466,11 +500,17 @@
     accepting(test)
 
 
-@pytest.mark.parametrize(("number", "counter"), [
-    (errno.ECONNABORTED, "admission.aborted"), (errno.ENOBUFS, "admission.no_memory"),
-    (errno.ENOMEM, "admission.no_memory")])
+@pytest.mark.parametrize(
+    ("number", "counter"),
+    [
+        (errno.ECONNABORTED, "admission.aborted"),
+        (errno.ENOBUFS, "admission.no_memory"),
+        (errno.ENOMEM, "admission.no_memory"),
+    ],
+)
 def test_other_errors_of_accept_cost_only_the_newcomer(
-        number: int, counter: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    number: int, counter: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def test(acceptor: Acceptor, gate: Gate, counters: Counters) -> None:
         whole, times = socket.socket.accept, [3]
 
@@ -501,8 +541,10 @@
     path.parent.mkdir(exist_ok=True)
     path.write_text(text)
     try:
-        for address, rank, cap in (("10.20.3.4", "listed by the operator", "does not apply to it"),
-                                   ("203.0.113.7", "stranger", "32 connections")):
+        for address, rank, cap in (
+            ("10.20.3.4", "listed by the operator", "does not apply to it"),
+            ("203.0.113.7", "stranger", "32 connections"),
+        ):
             told = json.loads(chutepin("admission", "explain", str(path), address).stdout)
             assert told["rank"] == rank and told["cap of its address"] == cap
         bad = chutepin("admission", "explain", str(path), "depot")
@@ -511,16 +553,19 @@
         path.unlink()
 
 
-@pytest.mark.parametrize(("text", "message"), [
-    ("per-address 5", "admission.per-address: 5 states no unit; write (connections)5"),
-    ("per-address (connections)1.5", "admission.per-address: (connections)1.5 is no whole number"),
-    ("rate-address (s)5", "admission.rate-address: unknown unit s; known are per-s, per-min"),
-    ("reserve (%)96", "admission.reserve: (%)96 is out of range"),
-    ('known "10.0.0.1/8"', "admission.known: 10.0.0.1/8 has host bits set"),
-    ('known "depot"', "admission.known: 'depot' does not appear to be"),
-    ("known", "admission.known: takes one value to 1024"),
-    ("reserve (%)60; new-share (%)50", "admission.new-share: with admission.reserve more than 100 %"),
-])
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ("per-address 5", "admission.per-address: 5 states no unit; write (connections)5"),
+        ("per-address (connections)1.5", "admission.per-address: (connections)1.5 is no whole number"),
+        ("rate-address (s)5", "admission.rate-address: unknown unit s; known are per-s, per-min"),
+        ("reserve (%)96", "admission.reserve: (%)96 is out of range"),
+        ('known "10.0.0.1/8"', "admission.known: 10.0.0.1/8 has host bits set"),
+        ('known "depot"', "admission.known: 'depot' does not appear to be"),
+        ("known", "admission.known: takes one value to 1024"),
+        ("reserve (%)60; new-share (%)50", "admission.new-share: with admission.reserve more than 100 %"),
+    ],
+)
 def test_a_fault_of_the_block_is_one_line(text: str, message: str) -> None:
     with pytest.raises(ConfigError) as error:
         parse_setup(f"admission {{ {text} }}")
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -29,6 +29,7 @@
 
 # --- planted errors ---
 
+
 class ToldBeforeDurable(Core):
     """Votes and acknowledgements leave before what they say is on the disk."""
 
@@ -87,10 +88,16 @@
 
 # --- the explorer ---
 
-@pytest.mark.parametrize(("scope", "states"), [
-    (Scope(elections=1, proposals=1), 100), (Scope(elections=1, proposals=1, crashes=1), 1000),
-    (Scope(elections=1, proposals=0, beats=1), 100),
-    (Scope(elections=1, proposals=0, snapshots=1, crashes=1), 300)])
+
+@pytest.mark.parametrize(
+    ("scope", "states"),
+    [
+        (Scope(elections=1, proposals=1), 100),
+        (Scope(elections=1, proposals=1, crashes=1), 1000),
+        (Scope(elections=1, proposals=0, beats=1), 100),
+        (Scope(elections=1, proposals=0, snapshots=1, crashes=1), 300),
+    ],
+)
 def test_no_interleaving_of_a_small_scope_breaks_an_invariant(scope: Scope, states: int) -> None:
     found = explore(scope)
     assert found.whole and not found.broken and found.states > states, found
@@ -102,19 +109,29 @@
     assert not found.broken and found.states >= 3000
 
 
-@pytest.mark.parametrize(("planted", "scope", "says"), [
-    (ToldBeforeDurable, Scope(elections=2, proposals=0, crashes=1), "lead in term"),
-    (VoteNotDurable, Scope(elections=2, proposals=0, crashes=1), "lead in term"),
-    (AnyLogWins, Scope(elections=2, proposals=0), "without an agreed entry"),
-    (VotesTwice, Scope(elections=2, proposals=0), "lead in term")])
+@pytest.mark.parametrize(
+    ("planted", "scope", "says"),
+    [
+        (ToldBeforeDurable, Scope(elections=2, proposals=0, crashes=1), "lead in term"),
+        (VoteNotDurable, Scope(elections=2, proposals=0, crashes=1), "lead in term"),
+        (AnyLogWins, Scope(elections=2, proposals=0), "without an agreed entry"),
+        (VotesTwice, Scope(elections=2, proposals=0), "lead in term"),
+    ],
+)
 def test_a_planted_error_is_found_by_the_shortest_way(planted: type[Core], scope: Scope, says: str) -> None:
     found = explore(scope, planted)
     assert says in found.broken and len(found.path) <= 10
 
 
 WIDE = Scope(elections=8, proposals=4, beats=20, crashes=3, twice=3)
-CHANGING = Scope(elections=8, proposals=2, beats=30, crashes=2, twice=2, changes=(
-    Voters(THREE.voters, ("v4",)), Voters((*THREE.voters, "v4")), Voters(("v2", "v3", "v4"))))
+CHANGING = Scope(
+    elections=8,
+    proposals=2,
+    beats=30,
+    crashes=2,
+    twice=2,
+    changes=(Voters(THREE.voters, ("v4",)), Voters((*THREE.voters, "v4")), Voters(("v2", "v3", "v4"))),
+)
 
 
 FORGETTING = Scope(elections=8, proposals=6, beats=40, crashes=3, twice=3, snapshots=6)
@@ -139,6 +156,7 @@
 
 def test_entries_of_an_earlier_term_are_not_agreed_by_counting() -> None:
     """A leader of term 3 whose entry of term 1 is with a majority must not take it for agreed."""
+
     def lead(make: type[Core]) -> Core:
         core = make("v1", THREE, Durable(), 0.0, random.Random(1))
         core._campaign(0.0, Role.CANDIDATE, False)
@@ -161,13 +179,15 @@
 
 # --- elections, leases, reads, handing over: in virtual time ---
 
+
 class Net:
     """Members on virtual time; messages come at once unless their link is cut."""
 
     def __init__(self, members: Voters = THREE, seed: int = 1) -> None:
         self.now, self.cuts = 0.0, set[tuple[str, str]]()
-        self.cores = {name: Core(name, members, Durable(), 0.0, random.Random(f"{seed} {name}"))
-                      for name in members.everybody}
+        self.cores = {
+            name: Core(name, members, Durable(), 0.0, random.Random(f"{seed} {name}")) for name in members.everybody
+        }
         self.readable: list[Readable] = []
         self.stopped: set[str] = set()
 
@@ -178,8 +198,12 @@
             for name, core in self.cores.items():
                 for effect in core.take():
                     busy = True
-                    if isinstance(effect, Send) and (name, effect.to) not in self.cuts \
-                            and effect.to in self.cores and effect.to not in self.stopped:
+                    if (
+                        isinstance(effect, Send)
+                        and (name, effect.to) not in self.cuts
+                        and effect.to in self.cores
+                        and effect.to not in self.stopped
+                    ):
                         self.cores[effect.to].receive(self.now, name, effect.message)
                     elif isinstance(effect, Readable):
                         self.readable.append(effect)
@@ -317,4 +341,3 @@
     core.receive(0.0, "v2", Append(1, 0, 0, (Entry(1, 1, Kind.EMPTY),), 1, 1))
     with pytest.raises(AssertionError, match="agreed entry"):
         core.receive(0.0, "v3", Append(2, 0, 0, (Entry(1, 2, Kind.EMPTY),), 0, 1))
-
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -85,8 +85,12 @@
     def pump(self) -> None:
         out = [id(message) for message in self.out.values()]
         for message in self.messages:
-            if message.queue in self._queues and not message.settled and id(message) not in out \
-                    and len(self.out) < self._window:
+            if (
+                message.queue in self._queues
+                and not message.settled
+                and id(message) not in out
+                and len(self.out) < self._window
+            ):
                 self.deliver(message)
 
     def deliver(self, message: Message) -> None:
@@ -95,8 +99,14 @@
         self.out[self._tag] = message
         message.deliveries += 1
         head = frame.marshal(header.ContentHeader(0, len(message.data), message.properties), 1)
-        self._writer.write(frame.marshal(commands.Basic.Deliver(
-            self._queues.get(message.queue, "q0"), self._tag, message.redelivered, "", message.queue), 1))
+        self._writer.write(
+            frame.marshal(
+                commands.Basic.Deliver(
+                    self._queues.get(message.queue, "q0"), self._tag, message.redelivered, "", message.queue
+                ),
+                1,
+            )
+        )
         self._writer.write(message.raw_header or head)
         if message.data:
             self._writer.write(frame.marshal(body.ContentBody(message.data), 1))
@@ -175,9 +185,14 @@
             self.cut()
 
 
-def on_sockets(test: Callable[[Standins, StandinBroker], Awaitable[None]], broker: StandinBroker,
-               prefetch: int = 32, stop_ms: int = 1500) -> None:
+def on_sockets(
+    test: Callable[[Standins, StandinBroker], Awaitable[None]],
+    broker: StandinBroker,
+    prefetch: int = 32,
+    stop_ms: int = 1500,
+) -> None:
     """Run a test with the real program between the stand-ins, its AMQP front on."""
+
     async def run() -> None:
         async with AsyncExitStack() as stack:
             await broker.start(stack)
@@ -195,8 +210,7 @@
 
 def test_no_write_ran_twice_though_the_broker_redelivers_at_random() -> None:
     async def test(world: Standins, broker: StandinBroker) -> None:
-        orders = [broker.put(ORDERS, b"order %d" % n, message_id=f"order-{n}", reply_to="depot")
-                  for n in range(60)]
+        orders = [broker.put(ORDERS, b"order %d" % n, message_id=f"order-{n}", reply_to="depot") for n in range(60)]
         reads = [broker.put(STATUS, b"read %d" % n) for n in range(20)]
         await eventually(lambda: all(message.settled for message in orders + reads))
         assert {message.settled for message in orders} == {"ack"}
@@ -258,12 +272,16 @@
 
 def test_malformed_messages_are_rejected_once_and_the_link_goes_on() -> None:
     async def test(world: Standins, broker: StandinBroker) -> None:
-        bad = [broker.put(ORDERS, b"no id"), broker.put(ORDERS, b"x" * 2049, message_id="1"),
-               broker.put(ORDERS, b"a", message_id="2", headers={"x-due-ms": "soon"}),
-               broker.put(STATUS, b"b", expiration="later"),
-               broker.put(STATUS, b"c", headers={"x-due-ms": 1})]
-        garbled = Message(STATUS, Properties(), b"d", raw_header=struct.pack(
-            ">BHIHHQH", 2, 1, 16, 60, 0, 1, 0x2000) + b"\xff\xff\xce")  # a table longer than its frame
+        bad = [
+            broker.put(ORDERS, b"no id"),
+            broker.put(ORDERS, b"x" * 2049, message_id="1"),
+            broker.put(ORDERS, b"a", message_id="2", headers={"x-due-ms": "soon"}),
+            broker.put(STATUS, b"b", expiration="later"),
+            broker.put(STATUS, b"c", headers={"x-due-ms": 1}),
+        ]
+        garbled = Message(
+            STATUS, Properties(), b"d", raw_header=struct.pack(">BHIHHQH", 2, 1, 16, 60, 0, 1, 0x2000) + b"\xff\xff\xce"
+        )  # a table longer than its frame
         broker.messages.append(garbled)
         good = broker.put(STATUS, b"sound")
         await eventually(lambda: good.settled)
@@ -304,14 +322,14 @@
 
 def test_a_node_that_leaves_waits_for_acknowledgements_that_its_broker_has_yet_to_read() -> None:
     """Settled, as it seemed, it went with the acknowledgements in its hands, and what was served came again."""
+
     async def test() -> None:
         async with asyncio.timeout_at(asyncio.get_running_loop().time() + 30), AsyncExitStack() as stack:
             core, broker = Core(), StandinBroker()
             await broker.start(stack)
             config = load_amqp(str(ROOT / "deploy" / "amqp.toml"), wire.parse_settings(ENV), SECRET)
             there = replace(config, address=Address("127.0.0.1", broker.port))
-            consumer = Consumer(there, core.broker, core.hand.clock,
-                                core.counters, Log(core.hand.clock), 1)
+            consumer = Consumer(there, core.broker, core.hand.clock, core.counters, Log(core.hand.clock), 1)
             running = asyncio.ensure_future(consumer.run())
             await eventually(lambda: broker.links)
             messages = [broker.put(STATUS, b"%d" % n, reply_to="depot") for n in range(3)]
@@ -360,10 +378,15 @@
     consumer.look(session)
     assert b"\x01\0\x01" + b"\0\0\0\x20\0\x3c\0\x14\0\0\x11depot.work-orders\x02q0\x08\0\0\0\0\xce" in sent
     deliver = b"\0\x3c\0\x3c\x02q0" + b"\0\0\0\0\0\0\0\x07" + b"\0" + b"\0" + b"\x11depot.work-orders"
-    session.received(b"\x01\0\x01" + struct.pack(">I", len(deliver)) + deliver + b"\xce"
-                     + b"\x02\0\x01\0\0\0\x11\0\x3c\0\0\0\0\0\0\0\0\0\x03\0\x80\x02m1\xce"
-                     + b"\x03\0\x01\0\0\0\x03fix\xce")
-    (_, id, cls, data), = core.ports.done
+    session.received(
+        b"\x01\0\x01"
+        + struct.pack(">I", len(deliver))
+        + deliver
+        + b"\xce"
+        + b"\x02\0\x01\0\0\0\x11\0\x3c\0\0\0\0\0\0\0\0\0\x03\0\x80\x02m1\xce"
+        + b"\x03\0\x01\0\0\0\x03fix\xce"
+    )
+    ((_, id, cls, data),) = core.ports.done
     assert (cls, data) == ("work-order", b"fix")
     core.end(id)
     assert sent[-1] == b"\x01\0\x01\0\0\0\x0d\0\x3c\0\x50\0\0\0\0\0\0\0\x07\0\xce"  # ack 7
@@ -390,10 +413,17 @@
             parser.next()
 
 
-@pytest.mark.parametrize(("old", "new", "field"), [
-    ('user = "chutepin"', "", "broker.user"), ("prefetch = 32", "prefetch = 0", "broker.prefetch"),
-    ('class = "work-order"', 'class = "x"', "queue.0.class"), ("[broker]", "[brokers]", "amqp.brokers"),
-    ('team = "bernard-lodge"', 'team = "x"', "queue.0.team"), ("[broker]", "[", "amqp")])
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ('user = "chutepin"', "", "broker.user"),
+        ("prefetch = 32", "prefetch = 0", "broker.prefetch"),
+        ('class = "work-order"', 'class = "x"', "queue.0.class"),
+        ("[broker]", "[brokers]", "amqp.brokers"),
+        ('team = "bernard-lodge"', 'team = "x"', "queue.0.team"),
+        ("[broker]", "[", "amqp"),
+    ],
+)
 def test_a_bad_operator_file_names_the_field(old: str, new: str, field: str, tmp_path: Path) -> None:
     path = tmp_path / "amqp.toml"
     path.write_text((ROOT / "deploy" / "amqp.toml").read_text().replace(old, new, 1))
@@ -416,8 +446,7 @@
         self.session.state, self.tag, self.open, self.settled = State.READY, 0, set(), set()
         self.sent.clear()
 
-    @rule(key=st.integers(0, 4), queue=st.integers(0, 1), redelivered=st.booleans(),
-          wait=st.integers(-1, 9000))
+    @rule(key=st.integers(0, 4), queue=st.integers(0, 1), redelivered=st.booleans(), wait=st.integers(-1, 9000))
     def deliver(self, key: int, queue: int, redelivered: bool, wait: int) -> None:
         if len(self.open) >= 32:
             return
@@ -426,9 +455,16 @@
         due = int(self.core.hand.time * 1000) + wait
         data = b"k%d" % key if queue == 0 else b"read"
         self.session.unsettled.add(self.tag)
-        self.consumer.delivered(self.session, Content(
-            commands.Basic.Deliver(f"q{queue}", self.tag, redelivered),
-            Properties(message_id=f"k{key}", headers={"x-due-ms": due}), len(data), len(data), [data]))
+        self.consumer.delivered(
+            self.session,
+            Content(
+                commands.Basic.Deliver(f"q{queue}", self.tag, redelivered),
+                Properties(message_id=f"k{key}", headers={"x-due-ms": due}),
+                len(data),
+                len(data),
+                [data],
+            ),
+        )
 
     @rule(data=st.data(), end=st.sampled_from([End.OK, End.ERROR, End.CANCELLED]))
     def run_ends(self, data: st.DataObject, end: End) -> None:
@@ -442,8 +478,7 @@
     @rule()
     def link_lost(self) -> None:
         self.consumer.lost(self.session)
-        self.session = Session(self.consumer.config, self.sent.append, self.consumer.delivered,
-                               self.core.counters)
+        self.session = Session(self.consumer.config, self.sent.append, self.consumer.delivered, self.core.counters)
         self.link()
 
     @invariant()
--- a/tests/test_assembly.py
+++ b/tests/test_assembly.py
@@ -36,19 +36,54 @@
 
 
 SCHEDULES = {
-    "kills of one after the other, of a majority, of all": Schedule(5, 40.0, (
-        *killed(1, 1, "n1"), *killed(5, 1, "n2"), *killed(9, 1, "n3"), *killed(13, 2, "n1", "n2"),
-        *killed(18, 1, *FIVE))),
-    "stops of each voter, and of all": Schedule(5, 40.0, tuple(
-        fault for at, names in ((1, ("n1",)), (6, ("n2",)), (11, ("n3",)), (16, ("n1", "n2", "n3")))
-        for fault in (Fault(at, "stop", names), Fault(at + 3.0, "wake", names)))),
-    "partitions with each voter alone, one-sided cuts": Schedule(5, 48.0, (
-        split(1, (["n1"], FIVE[1:])), Fault(5, "heal"), split(7, (["n2", "n4"], ["n1", "n3", "n5"])), Fault(11, "heal"),
-        split(13, (["n3"], ["n1"], ["n2", "n4", "n5"])), Fault(17, "heal"), Fault(19, "cut", ("n1", *FIVE[1:])),
-        Fault(23, "heal"), *(Fault(25, "cut", (name, "n2")) for name in FIVE if name != "n2"), Fault(30, "heal"))),
-    "broken connections, lost datagrams": Schedule(5, 36.0, (
-        Fault(1, "tear", value=0.5), Fault(1, "loss", value=0.2), *killed(5, 1, "n1"), *killed(10, 1, "n2"),
-        Fault(18, "tear"), Fault(18, "loss"))),
+    "kills of one after the other, of a majority, of all": Schedule(
+        5,
+        40.0,
+        (
+            *killed(1, 1, "n1"),
+            *killed(5, 1, "n2"),
+            *killed(9, 1, "n3"),
+            *killed(13, 2, "n1", "n2"),
+            *killed(18, 1, *FIVE),
+        ),
+    ),
+    "stops of each voter, and of all": Schedule(
+        5,
+        40.0,
+        tuple(
+            fault
+            for at, names in ((1, ("n1",)), (6, ("n2",)), (11, ("n3",)), (16, ("n1", "n2", "n3")))
+            for fault in (Fault(at, "stop", names), Fault(at + 3.0, "wake", names))
+        ),
+    ),
+    "partitions with each voter alone, one-sided cuts": Schedule(
+        5,
+        48.0,
+        (
+            split(1, (["n1"], FIVE[1:])),
+            Fault(5, "heal"),
+            split(7, (["n2", "n4"], ["n1", "n3", "n5"])),
+            Fault(11, "heal"),
+            split(13, (["n3"], ["n1"], ["n2", "n4", "n5"])),
+            Fault(17, "heal"),
+            Fault(19, "cut", ("n1", *FIVE[1:])),
+            Fault(23, "heal"),
+            *(Fault(25, "cut", (name, "n2")) for name in FIVE if name != "n2"),
+            Fault(30, "heal"),
+        ),
+    ),
+    "broken connections, lost datagrams": Schedule(
+        5,
+        36.0,
+        (
+            Fault(1, "tear", value=0.5),
+            Fault(1, "loss", value=0.2),
+            *killed(5, 1, "n1"),
+            *killed(10, 1, "n2"),
+            Fault(18, "tear"),
+            Fault(18, "loss"),
+        ),
+    ),
 }
 
 
@@ -70,8 +105,17 @@
 async def command(ops: int, *words: str) -> tuple[int, str]:
     """`agree …` as an operator calls it: exit code and output."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "chutepin", "agree", *words, "--ops", f"127.0.0.1:{ops}", cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+        sys.executable,
+        "-m",
+        "chutepin",
+        "agree",
+        *words,
+        "--ops",
+        f"127.0.0.1:{ops}",
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
     output, _ = await process.communicate()
     return process.returncode or 0, output.decode()
 
@@ -126,8 +170,9 @@
             for name in FIVE[:3]:
                 await until(lambda name=name: reads(fleet, name, "kept"))  # type: ignore[misc]
             for name in FIVE[:3]:
-                await fleet._to_process(stack, fleet.processes[name],
-                                        Fault(0.0, "crash" if name == "n1" else "wipe", (name,)))
+                await fleet._to_process(
+                    stack, fleet.processes[name], Fault(0.0, "crash" if name == "n1" else "wipe", (name,))
+                )
             store = str(fleet.store(fleet.processes["n1"]))
             code, output = await offline("inspect", store, "--json")
             assert code == 0 and json.loads(output)["node"] == "n1"
@@ -150,8 +195,15 @@
 async def offline(*words: str) -> tuple[int, str]:
     """`agree …` on a store that no node has open."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "chutepin", "agree", *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.STDOUT)
+        sys.executable,
+        "-m",
+        "chutepin",
+        "agree",
+        *words,
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
     output, _ = await process.communicate()
     return process.returncode or 0, output.decode()
 
@@ -298,17 +350,19 @@
 
 def test_the_agree_block_is_checked(tmp_path: Path) -> None:
     from chutepin.config import parse_setup
+
     cluster = 'cluster { name "f"; region "r"; zone "z"; listen "127.0.0.1:7301"; }\n'
     store = f'store {{ directory "{tmp_path}"; }}\n'
     setup = parse_setup(cluster + store + 'agree { voters "n1" "n2" "n3"; election (ms)500; heartbeat (ms)100; }')
     assert setup.agree == AgreeSetup(("n1", "n2", "n3"), 0.5, 0.1)
     for text, why in (
-            (store + 'agree { voters "n1"; }', "agree: needs the block cluster as well"),
-            (cluster + 'agree { voters "n1"; }', "agree: needs the block store as well"),
-            (cluster + store + "agree { election (s)1; }", "agree.voters: missing"),
-            (cluster + store + 'agree { voters "n1" "n2"; }', "agree.voters: 1, 3, 5 or 7 members"),
-            (cluster + store + 'agree { voters "n1" "n1" "n2"; }', "agree.voters: a member stands there twice"),
-            (cluster + store + 'agree { voters "n1"; election (ms)300; }', "agree.heartbeat: more than a third"),
-            (cluster + store + 'agree { voters "n~1"; }', "agree.voters: not a member's name")):
+        (store + 'agree { voters "n1"; }', "agree: needs the block cluster as well"),
+        (cluster + 'agree { voters "n1"; }', "agree: needs the block store as well"),
+        (cluster + store + "agree { election (s)1; }", "agree.voters: missing"),
+        (cluster + store + 'agree { voters "n1" "n2"; }', "agree.voters: 1, 3, 5 or 7 members"),
+        (cluster + store + 'agree { voters "n1" "n1" "n2"; }', "agree.voters: a member stands there twice"),
+        (cluster + store + 'agree { voters "n1"; election (ms)300; }', "agree.heartbeat: more than a third"),
+        (cluster + store + 'agree { voters "n~1"; }', "agree.voters: not a member's name"),
+    ):
         with pytest.raises(ConfigError, match=why):
             parse_setup(text)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -30,7 +30,7 @@
     core = Core()
     core.pick("a", wait=2.0)
     core.broker.wants_call("a", 7, b"ask")
-    (_, _, deadline, body), = [entry for entry in core.ports.done if entry[0] == "call"]
+    ((_, _, deadline, body),) = [entry for entry in core.ports.done if entry[0] == "call"]
     assert body == b"ask" and core.hand.time < deadline <= core.hand.time + 2.0
     core.broker.called("a", End.OK, b"\x00reply")
     assert core.ports.done[-1] == ("return", "a", b"\x00reply")
@@ -252,8 +252,11 @@
     def some(self, pool: list[str], data: st.DataObject) -> str | None:
         return data.draw(st.sampled_from(sorted(pool))) if pool else None
 
-    @rule(cls=st.sampled_from(["status-read", "position-push", "work-order"]), key=st.integers(0, 3),
-          wait=st.floats(0.05, 7.0))
+    @rule(
+        cls=st.sampled_from(["status-read", "position-push", "work-order"]),
+        key=st.integers(0, 3),
+        wait=st.floats(0.05, 7.0),
+    )
     def arrive(self, cls: str, key: int, wait: float) -> None:
         self.serial += 1
         id = f"r{self.serial}"
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -46,8 +46,16 @@
 
 # --- records ---
 
-RECORDS = st.builds(Record, st.just("x"), st.sampled_from(["a:1", "b:1"]), st.just("r"), st.just("z"),
-                    st.integers(0, 3), st.sampled_from(Status), st.just("x"))
+RECORDS = st.builds(
+    Record,
+    st.just("x"),
+    st.sampled_from(["a:1", "b:1"]),
+    st.just("r"),
+    st.just("z"),
+    st.integers(0, 3),
+    st.sampled_from(Status),
+    st.just("x"),
+)
 
 
 @STEPS
@@ -115,14 +123,29 @@
 WHOLES = st.integers(0, 2**63 - 1)
 AGES = st.integers(-1, 2**63 - 1)
 ANY_RECORD = st.builds(Record, WORDS, WORDS, WORDS, WORDS, WHOLES, st.sampled_from(Status), WORDS)
-LINKS = st.builds(Links, WORDS, WHOLES, WHOLES, st.lists(
-    st.builds(BadLink, WORDS, WORDS, WHOLES), max_size=16).map(tuple))
+LINKS = st.builds(
+    Links, WORDS, WHOLES, WHOLES, st.lists(st.builds(BadLink, WORDS, WORDS, WHOLES), max_size=16).map(tuple)
+)
 BODIES = st.one_of(
-    st.builds(Ping, WHOLES, st.just("") | WORDS, WHOLES), st.builds(Ack, WHOLES, AGES),
-    st.builds(PingReq, WHOLES, WORDS), st.builds(Found, WHOLES, WORDS, st.booleans(), AGES), st.just(Gossip()),
-    st.builds(Sync, st.booleans(), st.booleans()), st.just(Refuse()), st.builds(Stale, WHOLES))
-PACKETS = st.builds(Packet, st.just("") | WORDS, ANY_RECORD, WHOLES, WHOLES, st.integers(0, 2**56 - 1), BODIES,
-                    st.lists(ANY_RECORD | LINKS, max_size=4).map(tuple))
+    st.builds(Ping, WHOLES, st.just("") | WORDS, WHOLES),
+    st.builds(Ack, WHOLES, AGES),
+    st.builds(PingReq, WHOLES, WORDS),
+    st.builds(Found, WHOLES, WORDS, st.booleans(), AGES),
+    st.just(Gossip()),
+    st.builds(Sync, st.booleans(), st.booleans()),
+    st.just(Refuse()),
+    st.builds(Stale, WHOLES),
+)
+PACKETS = st.builds(
+    Packet,
+    st.just("") | WORDS,
+    ANY_RECORD,
+    WHOLES,
+    WHOLES,
+    st.integers(0, 2**56 - 1),
+    BODIES,
+    st.lists(ANY_RECORD | LINKS, max_size=4).map(tuple),
+)
 
 
 @STEPS
@@ -131,7 +154,7 @@
     frame = encode(packet, FLEET)
     assert decode(frame, FLEET, True) == packet
     spot = data.draw(st.integers(0, len(frame) - 1))
-    for spoilt in (frame[:spot], frame[:spot] + bytes([frame[spot] ^ 0x40]) + frame[spot + 1:], frame + b"x"):
+    for spoilt in (frame[:spot], frame[:spot] + bytes([frame[spot] ^ 0x40]) + frame[spot + 1 :], frame + b"x"):
         with pytest.raises(FrameError):
             decode(spoilt, FLEET, True)
     if isinstance(packet.body, (Sync, Refuse)) or len(frame) > MAX_DATAGRAM:
@@ -142,9 +165,18 @@
     assert reader.feed(whole[spot:]) == frame
 
 
-@pytest.mark.parametrize(("data", "reason"), [
-    (b"", "garbage"), (b"GET / HTTP/1.1", "garbage"), (b"cp", "truncated"), (b"cp\x02" + bytes(20), "version"),
-    (b"cp\x01" + bytes(20), "cluster"), (b"cp\x01" + FLEET + bytes(20), "checksum"), (bytes(1201), "too_long")])
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (b"", "garbage"),
+        (b"GET / HTTP/1.1", "garbage"),
+        (b"cp", "truncated"),
+        (b"cp\x02" + bytes(20), "version"),
+        (b"cp\x01" + bytes(20), "cluster"),
+        (b"cp\x01" + FLEET + bytes(20), "checksum"),
+        (bytes(1201), "too_long"),
+    ],
+)
 def test_what_is_no_packet_has_its_reason(data: bytes, reason: str) -> None:
     with pytest.raises(FrameError, match=reason):
         decode(data, FLEET, False)
@@ -155,6 +187,7 @@
 def test_hostile_contents_with_a_sound_checksum_are_dropped(content: bytes) -> None:
     import struct
     import zlib
+
     frame = b"cp\x01" + FLEET + struct.pack("!I", zlib.crc32(content)) + content
     with pytest.raises(FrameError, match=r"malformed|truncated"):
         decode(frame, FLEET, False)
@@ -172,18 +205,21 @@
 BLOCK = 'cluster { name "f"; region "r"; zone "a"; listen "127.0.0.1:7301"; %s }'
 
 
-@pytest.mark.parametrize(("text", "message"), [
-    ('cluster { name "f" }', "cluster.region: missing"),
-    (BLOCK % 'seeds "n1"', "cluster.seeds: n1 is not of the form member=host:port"),
-    (BLOCK % 'seeds "n1=elsewhere:1"', "cluster.seeds: elsewhere is not an IP address"),
-    (BLOCK % 'seeds "n1=127.0.0.1:1" "n1=127.0.0.1:2"', "cluster.seeds: a member stands there twice"),
-    (BLOCK % "probe-every 5", "cluster.probe-every: 5 states no unit"),
-    (BLOCK % "probe-timeout (ms)400", "cluster.probe-timeout: more than half of cluster.probe-every"),
-    (BLOCK % 'zone "b"', "cluster.zone: given twice"),
-    (BLOCK % 'colour "red"', "cluster.colour: unknown; known are name"),
-    (BLOCK.replace('"a"', '"a b"') % "", "cluster.zone: not a word"),
-    (BLOCK.replace("127.0.0.1", "0.0.0.0") % "", "cluster.listen: 0.0.0.0 is no address that others could dial"),
-])
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ('cluster { name "f" }', "cluster.region: missing"),
+        (BLOCK % 'seeds "n1"', "cluster.seeds: n1 is not of the form member=host:port"),
+        (BLOCK % 'seeds "n1=elsewhere:1"', "cluster.seeds: elsewhere is not an IP address"),
+        (BLOCK % 'seeds "n1=127.0.0.1:1" "n1=127.0.0.1:2"', "cluster.seeds: a member stands there twice"),
+        (BLOCK % "probe-every 5", "cluster.probe-every: 5 states no unit"),
+        (BLOCK % "probe-timeout (ms)400", "cluster.probe-timeout: more than half of cluster.probe-every"),
+        (BLOCK % 'zone "b"', "cluster.zone: given twice"),
+        (BLOCK % 'colour "red"', "cluster.colour: unknown; known are name"),
+        (BLOCK.replace('"a"', '"a b"') % "", "cluster.zone: not a word"),
+        (BLOCK.replace("127.0.0.1", "0.0.0.0") % "", "cluster.listen: 0.0.0.0 is no address that others could dial"),
+    ],
+)
 def test_a_bad_block_is_one_line(text: str, message: str, tmp_path: Path) -> None:
     path = tmp_path / "node.kdl"
     path.write_text(text)
@@ -194,28 +230,48 @@
 
 # --- the detector in the simulator ---
 
+
 def calm(seconds: float, *faults: Fault, members: int = 7) -> Schedule:
     return Schedule(members, seconds, faults)
 
 
 SCHEDULES = {
     "crash": calm(45, Fault(10, "crash", ("n5",)), Fault(30, "restart", ("n5",))),
-    "loss": calm(140, Fault(0, "loss", value=0.3), Fault(0, "duplicate", value=0.2), Fault(125, "loss"),
-                 Fault(125, "duplicate")),
-    "stop": calm(60, Fault(10, "stop", ("n5",)), Fault(20, "wake", ("n5",)), Fault(30, "stop", ("n2", "n3")),
-                 Fault(40, "wake", ("n2", "n3"))),
+    "loss": calm(
+        140, Fault(0, "loss", value=0.3), Fault(0, "duplicate", value=0.2), Fault(125, "loss"), Fault(125, "duplicate")
+    ),
+    "stop": calm(
+        60,
+        Fault(10, "stop", ("n5",)),
+        Fault(20, "wake", ("n5",)),
+        Fault(30, "stop", ("n2", "n3")),
+        Fault(40, "wake", ("n2", "n3")),
+    ),
     "stop all": calm(50, Fault(10, "stop", tuple(NAMES)), Fault(20, "wake", tuple(NAMES))),
     "split": calm(70, split(10, (NAMES[:4], NAMES[4:])), Fault(40, "heal")),
     "split in three": calm(70, split(10, (NAMES[:3], NAMES[3:6], NAMES[6:])), Fault(45, "heal")),
     "hears nobody": calm(80, *(Fault(10, "cut", (name, "n5")) for name in REST), Fault(60, "heal")),
     "is not heard": calm(80, Fault(10, "cut", ("n5", *REST)), Fault(60, "heal")),
-    "one link": calm(80, Fault(10, "cut", ("n1", "n2")), Fault(30, "heal"), Fault(40, "cut", ("n1", "n2")),
-                     Fault(40, "cut", ("n2", "n1")), Fault(60, "heal")),
+    "one link": calm(
+        80,
+        Fault(10, "cut", ("n1", "n2")),
+        Fault(30, "heal"),
+        Fault(40, "cut", ("n1", "n2")),
+        Fault(40, "cut", ("n2", "n1")),
+        Fault(60, "heal"),
+    ),
     "slow": calm(60, Fault(10, "slow", ("n4",), 0.9), Fault(40, "slow", ("n4",))),
-    "clock set back": calm(60, Fault(10, "clock", ("n5",), -3600.0), Fault(11, "crash", ("n5",)),
-                           Fault(12, "restart", ("n5",))),
-    "wave of restarts": calm(60, *(fault for number, name in enumerate(REST) for fault in (
-        Fault(10 + 0.7 * number, "crash", (name,)), Fault(10.5 + 0.7 * number, "restart", (name,))))),
+    "clock set back": calm(
+        60, Fault(10, "clock", ("n5",), -3600.0), Fault(11, "crash", ("n5",)), Fault(12, "restart", ("n5",))
+    ),
+    "wave of restarts": calm(
+        60,
+        *(
+            fault
+            for number, name in enumerate(REST)
+            for fault in (Fault(10 + 0.7 * number, "crash", (name,)), Fault(10.5 + 0.7 * number, "restart", (name,)))
+        ),
+    ),
 }
 
 
@@ -234,8 +290,13 @@
 
 
 def test_a_failing_schedule_shrinks_to_the_faults_that_matter() -> None:
-    schedule = calm(70, Fault(2, "delay", value=0.01), split(10, (NAMES[:4], NAMES[4:])),
-                    Fault(12, "cut", ("n1", "n2")), Fault(40, "heal"))
+    schedule = calm(
+        70,
+        Fault(2, "delay", value=0.01),
+        split(10, (NAMES[:4], NAMES[4:])),
+        Fault(12, "cut", ("n1", "n2")),
+        Fault(40, "heal"),
+    )
 
     def fails(schedule: Schedule) -> bool:
         found = broken(Simulator(schedule, 1, mutants.ForgetsTheDead).run())
@@ -256,8 +317,9 @@
 def test_the_lab_plays_a_schedule_and_leaves_history_and_chart(tmp_path: Path) -> None:
     out = tmp_path / "out"
     asked = ("lab", "simulate", "draw", "--seed", "7", "--out", str(out), "--json")
-    done = subprocess.run([sys.executable, "-m", "chutepin", *asked], cwd=ROOT, capture_output=True, text=True,
-                          check=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "chutepin", *asked], cwd=ROOT, capture_output=True, text=True, check=True
+    )
     assert json.loads(done.stdout)["broken"] == {}
     assert load_schedule((out / "schedule.json").read_text()) == draw(7, 6, 90.0)
     assert (out / "alive.svg").stat().st_size > 1000 and (out / "history.jsonl").read_text().count("\n") > 100
@@ -272,8 +334,10 @@
     text = '{"members": 5, "seconds": 9, "faults": %s}'
     schedule = load_schedule(text.replace("%s", '[{"at": 1, "what": "stop", "members": ["zone:a"]}]'))
     assert schedule.faults[0].members == ("n1", "n4")
-    for faults, wrong in (('[{"at": 1, "what": "burn"}]', "burn is not one of"),
-                          ('[{"at": 1, "what": "stop", "members": ["n9"]}]', "no such members: n9")):
+    for faults, wrong in (
+        ('[{"at": 1, "what": "burn"}]', "burn is not one of"),
+        ('[{"at": 1, "what": "stop", "members": ["n9"]}]', "no such members: n9"),
+    ):
         with pytest.raises(ValueError, match=wrong):
             load_schedule(text.replace("%s", faults))
 
@@ -354,15 +418,25 @@
 def test_a_clock_set_back_is_overruled_by_the_store_or_by_the_fleet() -> None:
     for kept in (True, False):
         history = Simulator(SCHEDULES["clock set back"], 1, kept=kept).run()
-        numbers = [number for shown in history.shown if shown.member == "n1" for name, _, number in shown.states
-                   if name == "n5"]
+        numbers = [
+            number
+            for shown in history.shown
+            if shown.member == "n1"
+            for name, _, number in shown.states
+            if name == "n5"
+        ]
         assert numbers == sorted(numbers) and len(set(numbers)) > 1
 
 
 def test_two_nodes_of_one_name_the_later_is_refused_until_the_name_is_free() -> None:
     simulator = Simulator(calm(30), 1)
-    late = Detector(ClusterSetup("fleet", "r", "a", Address("10.9.9.9", 7301), (("n1", "10.0.0.1:7301"),)), "n5",
-                    1, 15.0, random.Random(1))  # with a clock far back: its incarnation claims to be the earlier
+    late = Detector(
+        ClusterSetup("fleet", "r", "a", Address("10.9.9.9", 7301), (("n1", "10.0.0.1:7301"),)),
+        "n5",
+        1,
+        15.0,
+        random.Random(1),
+    )  # with a clock far back: its incarnation claims to be the earlier
     simulator.run()
     holder, seed = simulator.hosts["n5"].detector, simulator.hosts["n1"].detector
     assert holder is not None and seed is not None
@@ -406,6 +480,7 @@
 @pytest.mark.parametrize("address", ["example.org:7301", "127.0.0.1", "127.0.0.1:x", ":7301"])
 def test_a_told_address_that_is_no_number_is_not_looked_up(address: str) -> None:
     from chutepin.cluster.transport import numeric
+
     with pytest.raises(ValueError):
         numeric(address)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -64,8 +64,10 @@
 @pytest.mark.parametrize("where", ["lies in the system", "was read"])
 @pytest.mark.parametrize("how", ["first", "idle", "evicted"])
 def test_a_request_that_came_before_its_connection_is_closed_is_answered(
-        how: str, where: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    how: str, where: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """It lay there while the loop was at work elsewhere, and its balancer would not send it again after that long."""
+
     async def test(core: Core, front: Front, port: int) -> None:
         client, closes = await at_rest(core, front, port, how)
         before, feed, closed = len(core.ports.ids("exec")), asyncio.StreamReader.feed_data, list[object]()
@@ -94,6 +96,7 @@
 @pytest.mark.parametrize("how", ["first", "idle", "evicted"])
 def test_a_request_that_comes_after_its_connection_was_closed_does_not_run(how: str) -> None:
     """The other order. No answer could be written, and its balancer, which sees the close, sends it again."""
+
     async def test(core: Core, front: Front, port: int) -> None:
         client, closes = await at_rest(core, front, port, how)
         before = len(core.ports.ids("exec"))
@@ -109,6 +112,7 @@
 def test_last_words_are_not_reset_away_by_half_a_message() -> None:
     """Answers that a balancer has yet to read, and a message of its own that never ends: closed over what still comes,
     the connection was reset and the answers with it."""
+
     async def test(core: Core, front: Front, port: int) -> None:
         front.listeners[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         with socket.socket() as client:
@@ -126,7 +130,8 @@
 
 @pytest.mark.parametrize("how", ["malformed", "slow", "goodbye", "evicted", "half closed"])
 def test_a_balancer_that_never_reads_gives_its_place_back_and_spoils_no_other(
-        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Answers lie unsent as its connection is closed: it was waited for without end, or its descriptor was closed while
     the loop still waited to write there, and the next connection got that number."""
     monkeypatch.setattr(resp, "FLUSH_BY", 0.05)
@@ -136,7 +141,7 @@
         with socket.socket() as client:
             await asks(core, client, port, call(core, 31)[:40] if how == "slow" else b"")
             answer_all(core)
-            link, = front._links.values()
+            (link,) = front._links.values()
             assert link.transport.get_write_buffer_size()
             if how == "malformed":
                 client.sendall(b"what")
@@ -184,12 +189,13 @@
 
 
 def only(front: Front) -> Connection:
-    connection, = front.connections.values()
+    (connection,) = front.connections.values()
     return connection
 
 
 def test_a_connection_is_not_closed_right_after_its_last_answer() -> None:
     """Told goodbye long ago, it was closed as its answer was written: whatever came then reset the answer away."""
+
     async def test(core: Core, front: Front, port: int) -> None:
         with socket.create_connection(("127.0.0.1", port)) as client:
             client.sendall(call(core, 7))
@@ -278,6 +284,7 @@
 @pytest.mark.usefixtures("handlers")
 def test_a_signal_may_come_at_any_step_of_the_handing_over_of_another() -> None:
     """Each step of the machine in turn: both are heard, and nothing breaks."""
+
     async def crossing(at: int) -> int:
         heard, steps = list[str](), 0
 
@@ -292,8 +299,11 @@
                 steps += 1
             return step
 
-        by = {signal.SIGTERM: lambda at: heard.append("term"), signal.SIGHUP: lambda at: heard.append("hup"),
-              signal.SIGUSR1: lambda at: heard.append("usr1")}
+        by = {
+            signal.SIGTERM: lambda at: heard.append("term"),
+            signal.SIGHUP: lambda at: heard.append("hup"),
+            signal.SIGUSR1: lambda at: heard.append("usr1"),
+        }
         signals.listen()
         os.kill(os.getpid(), signal.SIGHUP)
         while signals._kept[signal.SIGHUP] is None:
@@ -307,7 +317,7 @@
                     await eventually(lambda: "usr1" in heard)
         finally:
             sys.settrace(before)
-        assert sorted(heard) == ["hup", "usr1"][:1 + (steps > at)]
+        assert sorted(heard) == ["hup", "usr1"][: 1 + (steps > at)]
         return steps
 
     async def run() -> None:
@@ -382,6 +392,7 @@
 def test_a_stop_that_is_meant_is_not_undone_by_asking_for_a_run_in_doubt(stopped: bool) -> None:
     """Its EXEC may or may not have been read when the link broke: the node asks by a stop, and wakes what says that it
     was stopped. Told to stop it meanwhile, it woke the run all the same."""
+
     async def test(stack: AsyncExitStack) -> None:
         there, clock, counters = Executor(), Clock(), Counters()
         session = Session(clock, counters, Log(clock), True)
@@ -428,6 +439,7 @@
 def test_a_call_is_not_placed_on_a_connection_that_is_being_closed() -> None:
     """It stood idle, was closed, and took one more call in the same breath, which then looked as if it might have
     run."""
+
     async def test(stack: AsyncExitStack) -> None:
         met, hand, ends = list[bytes](), Hand(), list[tuple[str, End]]()
 
@@ -444,8 +456,14 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         stack.callback(server.close)
-        service = RecordsService(Address("127.0.0.1", server.sockets[0].getsockname()[1]), hand.clock, Counters(),
-                                 Log(hand.clock), 8, Ledger(64, {"records": (0, 8)}))
+        service = RecordsService(
+            Address("127.0.0.1", server.sockets[0].getsockname()[1]),
+            hand.clock,
+            Counters(),
+            Log(hand.clock),
+            8,
+            Ledger(64, {"records": (0, 8)}),
+        )
         service.listener = Listener()
         service.call("a", hand.time + 60, b"x", repeatable=False)
         service.give_up("a")  # before anything stands
@@ -462,6 +480,7 @@
 
 def test_a_records_service_that_never_reads_gives_the_descriptor_back() -> None:
     """The call whose bytes lie unsent is over, and the connection idle: closed, it was waited for without end."""
+
     async def test(stack: AsyncExitStack) -> None:
         hand, ledger, ends, links = Hand(), Ledger(64, {"records": (0, 8)}), list[End](), list[asyncio.StreamWriter]()
 
@@ -477,8 +496,9 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         server = await asyncio.start_server(serve, sock=listener, limit=1024)
         stack.callback(server.close)
-        service = RecordsService(Address("127.0.0.1", listener.getsockname()[1]), hand.clock, Counters(),
-                                 Log(hand.clock), 1, ledger)
+        service = RecordsService(
+            Address("127.0.0.1", listener.getsockname()[1]), hand.clock, Counters(), Log(hand.clock), 1, ledger
+        )
         service.listener = Listener()
         service.call("a", hand.time + 60, b"x", repeatable=True)
         await eventually(lambda: links and service._connections[0].writer)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -41,24 +41,47 @@
 
 SCHEDULES = {
     "crash, restart, a clock an hour back and one forward": five(
-        62, Fault(1, "crash", ("n5",)), Fault(18, "restart", ("n5",)), Fault(24, "clock", ("n4",), -3600.0),
-        Fault(25, "crash", ("n4",)), Fault(25.5, "restart", ("n4",)), Fault(32, "clock", ("n3",), 3600.0),
-        Fault(33, "leave", ("n3",)), Fault(42, "restart", ("n3",))),
+        62,
+        Fault(1, "crash", ("n5",)),
+        Fault(18, "restart", ("n5",)),
+        Fault(24, "clock", ("n4",), -3600.0),
+        Fault(25, "crash", ("n4",)),
+        Fault(25.5, "restart", ("n4",)),
+        Fault(32, "clock", ("n3",), 3600.0),
+        Fault(33, "leave", ("n3",)),
+        Fault(42, "restart", ("n3",)),
+    ),
     "stops of one": five(62, *stops(1, 1, "n2"), *stops(6, 3, "n2"), *stops(14, 10, "n2"), *stops(34, 10, "n1", "n2")),
     "a stop of all, a starved one": five(
-        60, *stops(1, 10, *NAMES), Fault(20, "slow", ("n3",), 0.9), Fault(36, "slow", ("n3",))),
+        60, *stops(1, 10, *NAMES), Fault(20, "slow", ("n3",), 0.9), Fault(36, "slow", ("n3",))
+    ),
     "partitions 3|2 and 4|1": five(
-        66, split(1, (NAMES[:3], NAMES[3:])), Fault(18, "heal"), split(30, (NAMES[:4], NAMES[4:])), Fault(48, "heal")),
+        66, split(1, (NAMES[:3], NAMES[3:])), Fault(18, "heal"), split(30, (NAMES[:4], NAMES[4:])), Fault(48, "heal")
+    ),
     "partition 2|2|1": five(44, split(1, (NAMES[:2], NAMES[2:4], NAMES[4:])), Fault(25, "heal")),
     "one link, one way and both": five(
-        70, Fault(1, "cut", ("n1", "n2")), Fault(19, "mend", ("n1", "n2")), Fault(31, "cut", ("n1", "n2")),
-        Fault(31, "cut", ("n2", "n1")), Fault(50, "heal")),
+        70,
+        Fault(1, "cut", ("n1", "n2")),
+        Fault(19, "mend", ("n1", "n2")),
+        Fault(31, "cut", ("n1", "n2")),
+        Fault(31, "cut", ("n2", "n1")),
+        Fault(50, "heal"),
+    ),
     "one that hears nobody": five(55, *(Fault(1, "cut", (name, "n5")) for name in REST), Fault(35, "heal")),
     "one that nobody hears": five(55, Fault(1, "cut", ("n5", *REST)), Fault(35, "heal")),
     "loss of 10, 30 and 50%": five(
-        64, Fault(1, "duplicate", value=0.2), Fault(1, "delay", value=0.03), Fault(1, "tear", value=0.3),
-        Fault(1, "loss", value=0.1), Fault(12, "loss", value=0.3), Fault(30, "loss", value=0.5), Fault(46, "loss"),
-        Fault(46, "duplicate"), Fault(46, "delay"), Fault(46, "tear")),
+        64,
+        Fault(1, "duplicate", value=0.2),
+        Fault(1, "delay", value=0.03),
+        Fault(1, "tear", value=0.3),
+        Fault(1, "loss", value=0.1),
+        Fault(12, "loss", value=0.3),
+        Fault(30, "loss", value=0.5),
+        Fault(46, "loss"),
+        Fault(46, "duplicate"),
+        Fault(46, "delay"),
+        Fault(46, "tear"),
+    ),
 }
 
 
@@ -74,11 +97,12 @@
 
 def test_the_rig_can_fail() -> None:
     """A detector that is given no time to be refuted is caught on real processes too."""
+
     async def run() -> set[str]:
         schedule = Schedule(3, 14.0, (Fault(0.5, "loss", value=0.7), Fault(12.0, "loss")))
         async with AsyncExitStack() as stack:
             fleet = Fleet(schedule, 1)
-            fleet.extra = ' probe-every (ms)50\n probe-timeout (ms)10\n suspect-least (ms)100\n suspect-most (times)1\n'
+            fleet.extra = " probe-every (ms)50\n probe-timeout (ms)10\n suspect-least (ms)100\n suspect-most (times)1\n"
             return set(broken(await fleet.run(stack), SLACK))
 
     assert "no_live_member_is_declared_dead" in asyncio.run(run())
@@ -111,8 +135,11 @@
                 await fleet.restart(stack, name)
             await fleet.joined(names)
             # Alive is what n22 showed of each before its end was noticed, too: the new life must come to be known.
-            await until_members(fleet, "n22", lambda rows: all(
-                rows[name][1] == "alive" and rows[name][2] > before[name] for name in names[1:21]))
+            await until_members(
+                fleet,
+                "n22",
+                lambda rows: all(rows[name][1] == "alive" and rows[name][2] > before[name] for name in names[1:21]),
+            )
             assert {row[0]: row[2] for row in await fleet.members("n22")}["n1"] >= before["n1"]
 
     asyncio.run(run())
@@ -164,7 +191,11 @@
             await until_members(fleet, "n1", lambda rows: rows["n3"][1] == "dead")
             code, output = await command(process.ops, "members")
             assert code == 1 and {row["name"]: row["state"] for row in json.loads(output)} | {"stranger": "dead"} == {
-                "n1": "alive", "n2": "alive", "n3": "dead", "stranger": "dead"}
+                "n1": "alive",
+                "n2": "alive",
+                "n3": "dead",
+                "stranger": "dead",
+            }
             code, output = await command(process.ops, "watch", "--seconds", "0.1")
             assert code == 1 and any(change["what"] == "dead" for change in json.loads(output)["changes"])
             assert await command(process.ops, "links") == (0, "[]\n")
@@ -176,8 +207,17 @@
 async def command(ops: int, *words: str) -> tuple[int, str]:
     """`cluster …` as an operator calls it: exit code and output."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "chutepin", "cluster", *words, "--ops", f"127.0.0.1:{ops}", cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL)
+        sys.executable,
+        "-m",
+        "chutepin",
+        "cluster",
+        *words,
+        "--ops",
+        f"127.0.0.1:{ops}",
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
     output, _ = await process.communicate()
     return process.returncode or 0, output.decode()
 
@@ -229,14 +269,20 @@
                 assert not any(f"{what} n4" in told for what in ("dead", "left")), told
             setup = fleet.setup(old)
             was = setup.read_text()
-            for text, logged in ((was.replace('zone "a"', 'zone "z"'), "reload.only_admission"),
-                                 (was.replace("listen", "lisden"), "cluster.lisden: unknown")):
+            for text, logged in (
+                (was.replace('zone "a"', 'zone "z"'), "reload.only_admission"),
+                (was.replace("listen", "lisden"), "cluster.lisden: unknown"),
+            ):
                 setup.write_text(text)
                 old.signal(signal.SIGHUP)
                 await until(lambda logged=logged: logged in fleet.log("n4"))  # type: ignore[misc]
             rows = [line.split() for line in (await old.ask("members"))[1:-1]]
             assert [(row[0], row[3], row[4]) for row in rows] == [
-                ("n1", "r1", "a"), ("n2", "r2", "b"), ("n3", "r1", "c"), ("n4", "r1", "a")]
+                ("n1", "r1", "a"),
+                ("n2", "r2", "b"),
+                ("n3", "r1", "c"),
+                ("n4", "r1", "a"),
+            ]
             assert (await old.ask("members"))[0] == "SUCCESS total 4 alive 4"
 
     asyncio.run(run())
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -152,8 +152,10 @@
         kept = [await world.connect() for _ in range(3)]
         refused = await world.connect()
         await eventually(lambda: refused.ended)
-        for text, word in (("admission { per-address 9 }", b"reload.kept_old"),
-                           ("admission { per-address (connections)9 }", b"")):
+        for text, word in (
+            ("admission { per-address 9 }", b"reload.kept_old"),
+            ("admission { per-address (connections)9 }", b""),
+        ):
             setup(tmp_path, text)
             world.hang_up()
             if word:
@@ -186,8 +188,10 @@
         assert world.process is not None
         really = len(list(Path(f"/proc/{world.process.pid}/fd").iterdir()))
         world.process.send_signal(signal.SIGUSR1)
-        told = {name: int(value) for name, value in (
-            part.split("=") for part in (await line_with(world, b"descriptors limit")).split()[2:])}
+        told = {
+            name: int(value)
+            for name, value in (part.split("=") for part in (await line_with(world, b"descriptors limit")).split()[2:])
+        }
         assert told["front.held"] == 7
         assert abs(told["other"] + sum(v for name, v in told.items() if name.endswith(".held")) - really) <= 8
         for balancer in balancers:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -64,20 +64,34 @@
     assert [s for s, o in owning.items() if o is Standing.ASKS] == [Stage.YIELDED]
 
 
-@pytest.mark.parametrize("stage,alive,after,closed", [
-    (Stage.MEETING, True, Stage.APART, False), (Stage.MEETING, False, Stage.ALONE, True),
-    (Stage.LEARNING, False, Stage.ALONE, True), (Stage.SYNCED, False, Stage.ALONE, False),
-    (Stage.TAKING, True, Stage.APART, False), (Stage.TAKING, False, Stage.ALONE, False),
-    (Stage.OWNER, True, Stage.ALONE, False), (Stage.OWNER, False, Stage.ALONE, False)])
+@pytest.mark.parametrize(
+    "stage,alive,after,closed",
+    [
+        (Stage.MEETING, True, Stage.APART, False),
+        (Stage.MEETING, False, Stage.ALONE, True),
+        (Stage.LEARNING, False, Stage.ALONE, True),
+        (Stage.SYNCED, False, Stage.ALONE, False),
+        (Stage.TAKING, True, Stage.APART, False),
+        (Stage.TAKING, False, Stage.ALONE, False),
+        (Stage.OWNER, True, Stage.ALONE, False),
+        (Stage.OWNER, False, Stage.ALONE, False),
+    ],
+)
 def test_a_predecessor_that_is_lost(stage: Stage, alive: bool, after: Stage, closed: bool) -> None:
     succession = at(stage)
     succession.lost(100.0, alive)
     assert succession.stage is after and (succession.closed_until == 144.0) is closed
 
 
-@pytest.mark.parametrize("stage,alive,stood,after,closed", [
-    (Stage.TELLING, False, 9.0, Stage.ALONE, False), (Stage.YIELDED, True, 0.0, Stage.CUT_OFF, False),
-    (Stage.YIELDED, False, 0.0, Stage.ALONE, False), (Stage.YIELDED, False, 9.0, Stage.ALONE, True)])
+@pytest.mark.parametrize(
+    "stage,alive,stood,after,closed",
+    [
+        (Stage.TELLING, False, 9.0, Stage.ALONE, False),
+        (Stage.YIELDED, True, 0.0, Stage.CUT_OFF, False),
+        (Stage.YIELDED, False, 0.0, Stage.ALONE, False),
+        (Stage.YIELDED, False, 9.0, Stage.ALONE, True),
+    ],
+)
 def test_a_successor_that_is_lost(stage: Stage, alive: bool, stood: float, after: Stage, closed: bool) -> None:
     succession = at(stage)
     succession.left(100.0, alive, stood)
@@ -307,9 +321,16 @@
 TestPair.settings = settings(STEPS, max_examples=150, stateful_step_count=40)
 
 
-@pytest.mark.parametrize("stage,sent,runs", [
-    (Stage.OWNER, True, True), (Stage.OWNER, False, False), (Stage.OWNER, None, True), (Stage.TELLING, None, True),
-    (Stage.YIELDED, None, False)])
+@pytest.mark.parametrize(
+    "stage,sent,runs",
+    [
+        (Stage.OWNER, True, True),
+        (Stage.OWNER, False, False),
+        (Stage.OWNER, None, True),
+        (Stage.TELLING, None, True),
+        (Stage.YIELDED, None, False),
+    ],
+)
 def test_a_key_runs_only_where_the_other_hears_of_it_or_runs_none(stage: Stage, sent: bool | None, runs: bool) -> None:
     """`sent` None: the link has just ended, and the process is not told yet."""
     process = Process()
@@ -342,7 +363,7 @@
         teacher.end(f"{number}")
     learned = teacher.broker.learned()
     assert learned["runs.average"] != pupil.broker.learned()["runs.average"]
-    (_, fields), = [message for message in [_one(frame("LEARNED", **learned))]]
+    ((_, fields),) = [message for message in [_one(frame("LEARNED", **learned))]]
     pupil.broker.adopt(fields)
     assert pupil.broker.learned() == learned
     with pytest.raises(AssertionError):
@@ -376,6 +397,7 @@
 
 def upgrade(test: Callable[[Standins, Standins, AsyncExitStack], Awaitable[None]], window: float = WINDOW) -> None:
     """Run a test with one node in service and the stand-ins of a second process at the same address."""
+
     async def run() -> None:
         async with AsyncExitStack() as stack:
             place = stack.enter_context(tempfile.TemporaryDirectory())
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -16,7 +16,8 @@
 
 ENV: dict[str, Any] = {
     "categories": [{"name": "view", "deadline": 2.0, "slo": 0.5, "idempotency": "pure", "importance": 1.0}],
-    "familyInfo": {"cpus": 2, "memoryKb": 9000.0}}
+    "familyInfo": {"cpus": 2, "memoryKb": 9000.0},
+}
 
 
 def launch(env: Any) -> str:
@@ -77,8 +78,14 @@
 
 
 def test_process_reports_on_standard_error() -> None:
-    done = subprocess.run([sys.executable, "-m", "poststall.simhost"], input=batch() + "{\n", text=True,
-                          capture_output=True, cwd=Path(__file__).parent.parent, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "poststall.simhost"],
+        input=batch() + "{\n",
+        text=True,
+        capture_output=True,
+        cwd=Path(__file__).parent.parent,
+        check=False,
+    )
     assert done.returncode == 2
     assert done.stdout == '{"op":"OK"}\n'
     assert done.stderr.startswith("poststall: line 3:") and done.stderr.count("\n") == 1
@@ -86,9 +93,21 @@
 
 def test_every_action_has_a_line() -> None:
     actions: list[api.Action] = [
-        api.Run("a"), api.Stop("a"), api.Refuse("a", 0.5, True), api.Fail("a"), api.Call("a", 1.0),
-        api.SkipCall("a"), api.KeepKey("a", 1.0), api.ForgetKey("a"), api.Share("a"),
-        api.SetHealth(True), api.Announce(0.5), api.IdleTimeout(1.0), api.SetTimer(1, 0.1), api.Log("x")]
+        api.Run("a"),
+        api.Stop("a"),
+        api.Refuse("a", 0.5, True),
+        api.Fail("a"),
+        api.Call("a", 1.0),
+        api.SkipCall("a"),
+        api.KeepKey("a", 1.0),
+        api.ForgetKey("a"),
+        api.Share("a"),
+        api.SetHealth(True),
+        api.Announce(0.5),
+        api.IdleTimeout(1.0),
+        api.SetTimer(1, 0.1),
+        api.Log("x"),
+    ]
     ops = {json.loads(wire.format_action(action, "server_1"))["op"] for action in actions}
     assert len(ops) == len(actions)
     refusal = json.loads(wire.format_action(actions[2], "server_1"))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -32,8 +32,16 @@
     return policy
 
 
-def req(name: str, due: float = 4.0, cls: str = "view", hint: float | None = 0.2, unread: float = 0.0,
-        repeats: str | None = None, tenant: str | None = None, caller: int = 0) -> api.Request:
+def req(
+    name: str,
+    due: float = 4.0,
+    cls: str = "view",
+    hint: float | None = 0.2,
+    unread: float = 0.0,
+    repeats: str | None = None,
+    tenant: str | None = None,
+    caller: int = 0,
+) -> api.Request:
     return api.Request(name, cls, unread, 10.0, tenant, None, due, hint, 0.5, caller, repeats)
 
 
@@ -227,8 +235,10 @@
     assert ids(policy.handle(0.2, [api.Finished("run", Outcome.OK)]), api.Run) == ["b"]
 
 
-@pytest.mark.parametrize(("outcome", "again"), [
-    (Outcome.BUSY, True), (Outcome.CONNECT_FAILED, True), (Outcome.TIMEOUT, False), (Outcome.RESET, False)])
+@pytest.mark.parametrize(
+    ("outcome", "again"),
+    [(Outcome.BUSY, True), (Outcome.CONNECT_FAILED, True), (Outcome.TIMEOUT, False), (Outcome.RESET, False)],
+)
 def test_keyed_call_is_repeated_only_on_proof(outcome: Outcome, again: bool) -> None:
     policy = started(replace(PLAIN, calls_below=True))
     policy.handle(0.0, [req("a", cls="pay")])
@@ -273,8 +283,9 @@
     assert not ids(policy.handle(5.1, over), api.Fail)
 
 
-@pytest.mark.parametrize(("field", "value"), [("cores", 0), ("memory", 0.0), ("drain_grace", -1.0),
-                                              ("classes", ()), ("cold_from", 0.0)])
+@pytest.mark.parametrize(
+    ("field", "value"), [("cores", 0), ("memory", 0.0), ("drain_grace", -1.0), ("classes", ()), ("cold_from", 0.0)]
+)
 def test_contradictory_settings_name_the_field(field: str, value: object) -> None:
     with pytest.raises(api.SettingsError, match=field):
         replace(PLAIN, **{field: value})  # type: ignore[arg-type]
@@ -376,11 +387,24 @@
 # --- failures looked for on servers whose runs cannot be stopped ---
 
 
-@pytest.mark.parametrize("settings", [
-    replace(PLAIN, classes=(VIEW, CALLING), crowd=6.0, calls_below=True, calls_out=1e3, halt=api.Halt.NONE),
-    replace(PLAIN, classes=(VIEW, CALLING), crowd=6.0, calls_below=True, calls_out=1e3, halt=api.Halt.NONE,
-            cold=True, cold_from=0.5, warm_after=1000.0),
-    replace(PLAIN, classes=(VIEW, CALLING), crowd=1.0, calls_below=True, calls_out=1000.0)])
+@pytest.mark.parametrize(
+    "settings",
+    [
+        replace(PLAIN, classes=(VIEW, CALLING), crowd=6.0, calls_below=True, calls_out=1e3, halt=api.Halt.NONE),
+        replace(
+            PLAIN,
+            classes=(VIEW, CALLING),
+            crowd=6.0,
+            calls_below=True,
+            calls_out=1e3,
+            halt=api.Halt.NONE,
+            cold=True,
+            cold_from=0.5,
+            warm_after=1000.0,
+        ),
+        replace(PLAIN, classes=(VIEW, CALLING), crowd=1.0, calls_below=True, calls_out=1000.0),
+    ],
+)
 def test_crowd_holds_when_every_call_returns_at_once(settings: Settings) -> None:
     """Runs under the limit all went to calls, others took their permits, then all came back."""
     policy = started(settings)
@@ -403,8 +427,9 @@
     policy.runs.limit = 8
     policy.handle(0.0, [req("a", 9.0)])
     policy.handle(0.1, [api.TimerFired(policy.token)])
-    actions = policy.handle(5.3, [api.TimerFired(policy.token), req("b", 9.0, unread=4.0),
-                                  api.Finished("a", Outcome.OK)])
+    actions = policy.handle(
+        5.3, [api.TimerFired(policy.token), req("b", 9.0, unread=4.0), api.Finished("a", Outcome.OK)]
+    )
     assert policy.runs.limit == 8 and policy.runs.time < 0.3 and policy.unread < 0.01
     assert api.SetHealth(False) not in actions
 
@@ -427,8 +452,9 @@
     assert api.SetHealth(False) in actions
 
 
-@pytest.mark.parametrize(("marks", "again", "aim"), [
-    (True, False, 1.0), (True, True, 0.8), (False, False, 0.8), (False, True, 0.8)])
+@pytest.mark.parametrize(
+    ("marks", "again", "aim"), [(True, False, 1.0), (True, True, 0.8), (False, False, 0.8), (False, True, 0.8)]
+)
 def test_marked_tries_tell_their_age_and_others_are_first(marks: bool, again: bool, aim: float) -> None:
     policy = started(replace(PLAIN, marks_retries=marks))
     heard(policy, 60)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -42,11 +42,15 @@
 
     def feed(self, data: bytes, size: int) -> None:
         for at in range(0, len(data), size):
-            self.connection.received(data[at:at + size])
+            self.connection.received(data[at : at + size])
 
     @precondition(lambda self: not self.connection.closing)
-    @rule(cls=st.sampled_from([b"status-read", b"work-order", b"what"]), size=st.integers(1, 300),
-          wait=st.integers(0, 9000), key=st.integers(0, 3))
+    @rule(
+        cls=st.sampled_from([b"status-read", b"work-order", b"what"]),
+        size=st.integers(1, 300),
+        wait=st.integers(0, 9000),
+        key=st.integers(0, 3),
+    )
     def call(self, cls: bytes, size: int, wait: int, key: int) -> None:
         self.tag += 1
         self.open.add(self.tag)
@@ -71,8 +75,7 @@
         self.feed(array(b"RPC.HEALTH", b"%d" % self.tag, b""), 5)
 
     @precondition(lambda self: self.tag > 6)
-    @rule(junk=st.sampled_from([
-        b"$1\r\n", b"*9999\r\n", b"*1\r\n$-1\r\n", array(b"RPC.CALL"), b"*2\r\n$9\r\nx"]))
+    @rule(junk=st.sampled_from([b"$1\r\n", b"*9999\r\n", b"*1\r\n$-1\r\n", array(b"RPC.CALL"), b"*2\r\n$9\r\nx"]))
     def break_off(self, junk: bytes) -> None:
         self.connection.received(junk + b"\r\n" * 20)
         assert self.connection.closing and not self.connection.open
@@ -204,7 +207,7 @@
             words, body = message
             if words[0] == "JOIN":
                 self.joined = True
-                self.to_node += line("WELCOME", "hot", 1) + b"".join(self.notices[int(words[1]):])
+                self.to_node += line("WELCOME", "hot", 1) + b"".join(self.notices[int(words[1]) :])
             elif words[0] == "METER":
                 self.to_node += line("METERS", words[1], 1)
             elif words[0] == "KILL":
@@ -251,7 +254,7 @@
     def once_each(self) -> None:
         if hasattr(self, "heard"):
             ends = [notice.split()[2].decode() for notice in self.notices if b"complete" in notice]
-            assert self.heard == ends[:len(self.heard)], "a notice was lost or taken twice"
+            assert self.heard == ends[: len(self.heard)], "a notice was lost or taken twice"
             assert all(count == 1 for id, count in self.begun.items() if id.startswith("key"))
 
     def teardown(self) -> None:
@@ -460,8 +463,13 @@
     front = Front(core.broker, clock, core.counters, Log(clock), 16)
     front.table.limit = front.max_connections = 7
     ages = {"new": 0.1, "last": 1.0, "first": 1.0, "checked": 3.0, "checked later": 2.0, "idle": 2.0, "busy": 9.0}
-    uses = {"last": Use.REQUESTS, "checked": Use.CHECKS, "checked later": Use.CHECKS, "idle": Use.REQUESTS,
-            "busy": Use.REQUESTS}
+    uses = {
+        "last": Use.REQUESTS,
+        "checked": Use.CHECKS,
+        "checked later": Use.CHECKS,
+        "idle": Use.REQUESTS,
+        "busy": Use.REQUESTS,
+    }
     keys = {name: key for key, name in enumerate(ages, 1)}
     now = core.hand.time
     for name, age in sorted(ages.items(), key=lambda item: -item[1]):
@@ -497,17 +505,28 @@
 
 
 def test_the_fields_of_a_call() -> None:
-    request = parse_call([
-        b"RPC.CALL", b"7", b"checkout", b"i=9b1f03aa5c7e2d41,s=1764576000123,f=4,t=acme,d=480,"
-        b"r=1,m=24.5,p=0.6250,k=5c0f,o=7f3a", b"\0"])
+    request = parse_call(
+        [
+            b"RPC.CALL",
+            b"7",
+            b"checkout",
+            b"i=9b1f03aa5c7e2d41,s=1764576000123,f=4,t=acme,d=480,r=1,m=24.5,p=0.6250,k=5c0f,o=7f3a",
+            b"\0",
+        ]
+    )
     assert (request.id, request.cls, request.tenant, request.key, request.subject, request.body) == (
-        "9b1f03aa5c7e2d41", "checkout", "acme", "5c0f", "7f3a", b"\0")
+        "9b1f03aa5c7e2d41",
+        "checkout",
+        "acme",
+        "5c0f",
+        "7f3a",
+        b"\0",
+    )
     assert request.arrived == 1764576000.123 and abs(request.due - 1764576000.603) < 1e-5
     assert (request.caller, request.size, request.rank, request.again) == (4, 24.5, 0.625, True)
 
 
-@pytest.mark.parametrize("raw", [
-    b"x" * 600, b"\r\n", b"EXIT 1 a complete 1 x\r\n", b"EXIT 1 a complete 1 2\r\nabcd"])
+@pytest.mark.parametrize("raw", [b"x" * 600, b"\r\n", b"EXIT 1 a complete 1 x\r\n", b"EXIT 1 a complete 1 2\r\nabcd"])
 def test_malformed_lines(raw: bytes) -> None:
     parser = LineParser(lambda words: words[0] == "EXIT", 100)
     parser.feed(raw)
@@ -517,8 +536,7 @@
 
 
 @pytest.mark.parametrize(("repeatable", "end"), [(True, End.OK), (False, End.BROKEN)])
-def test_a_call_on_a_connection_that_was_forgotten_goes_out_again_where_it_may(
-        repeatable: bool, end: End) -> None:
+def test_a_call_on_a_connection_that_was_forgotten_goes_out_again_where_it_may(repeatable: bool, end: End) -> None:
     ends: list[tuple[str, End]] = []
     served: list[str] = []
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -26,6 +26,7 @@
 
 def on_sockets(test: Callable[[Standins, AsyncExitStack], Awaitable[None]]) -> None:
     """Run a test with stand-ins that are not started yet."""
+
     async def run() -> None:
         async with AsyncExitStack() as stack:
             await test(Standins(), stack)
@@ -180,8 +181,7 @@
         world.path.write_text("{")
         world.hang_up()
         assert world.process is not None and world.process.stderr is not None
-        while b'reload.kept_old why="LB_CONFIG: not JSON"' not in (
-                await world.process.stderr.readline()):
+        while b'reload.kept_old why="LB_CONFIG: not JSON"' not in (await world.process.stderr.readline()):
             pass
         await world.configure(stack)
         reports, notices = len(world.reports), len(world.notices)
@@ -195,8 +195,9 @@
         await eventually(lambda: len(world.reports) > reports)
         assert len(world.runs) == 3
         log = await world.leave()
-        assert all(f"{count} " in log for count in (
-            "reloads=1", "reloads.bad=1", "executor.moved=1", "records.connections=2"))
+        assert all(
+            f"{count} " in log for count in ("reloads=1", "reloads.bad=1", "executor.moved=1", "records.connections=2")
+        )
         await balancer.close()
 
     on_sockets(test)
@@ -286,19 +287,27 @@
     "settings: field 'classCalls'": {"settings": {"familyInfo": {"classCalls": ["yes"]}}},
     "settings: field 'servers'": {"settings": {"servers": -1}},
     "settings: familyInfo.cpus": {"settings": {"familyInfo": {"cpus": 0}}},
-    "settings: categories.a.slo": {"settings": {"categories": [{
-        "name": "a", "deadline": 1.0, "slo": 0, "idempotency": "pure"}]}},
-    "settings: categories: a name is given twice": {"settings": {"categories": [{
-        "name": "a", "deadline": 1.0, "idempotency": "pure"}] * 2}},
+    "settings: categories.a.slo": {
+        "settings": {"categories": [{"name": "a", "deadline": 1.0, "slo": 0, "idempotency": "pure"}]}
+    },
+    "settings: categories: a name is given twice": {
+        "settings": {"categories": [{"name": "a", "deadline": 1.0, "idempotency": "pure"}] * 2}
+    },
 }
 
 
 @pytest.mark.parametrize("field", BAD)
 def test_bad_configuration_is_one_line_and_code_2(field: str, tmp_path: Path) -> None:
     raw = BAD[field]
-    good: dict[str, Any] = {"name": "n3", "listen": "127.0.0.1:1", "executor": "127.0.0.1:2", "settings": {
-        "categories": [{"name": "a", "deadline": 1.0, "idempotency": "pure"}],
-        "familyInfo": {"cpus": 1, "memoryKb": 9.0}}}
+    good: dict[str, Any] = {
+        "name": "n3",
+        "listen": "127.0.0.1:1",
+        "executor": "127.0.0.1:2",
+        "settings": {
+            "categories": [{"name": "a", "deadline": 1.0, "idempotency": "pure"}],
+            "familyInfo": {"cpus": 1, "memoryKb": 9.0},
+        },
+    }
     path = tmp_path / "config.json"
     if isinstance(raw, dict) and isinstance(raw.get("settings"), dict):  # what is not named there is sound
         settings = good["settings"] | raw["settings"]
@@ -308,8 +317,15 @@
     environ = {**os.environ, "LB_CONFIG": str(path)}
     if raw is None:
         del environ["LB_CONFIG"]
-    done = subprocess.run([sys.executable, "-m", "chutepin"], cwd=ROOT, env=environ, capture_output=True,
-                          text=True, check=False, timeout=60)  # one that is taken for good serves on
+    done = subprocess.run(
+        [sys.executable, "-m", "chutepin"],
+        cwd=ROOT,
+        env=environ,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )  # one that is taken for good serves on
     assert done.returncode == 2 and done.stderr.startswith(f"chutepin: {field}"), done.stderr
     assert done.stderr.count("\n") == 1
     assert "LB_CONFIG" in field or str(path) in done.stderr
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -26,8 +26,11 @@
 
 
 @STEPS
-@given(st.text(st.characters(codec="ascii", exclude_characters="\n"), max_size=300), st.booleans(),
-       st.lists(st.integers(1, 40), min_size=1))
+@given(
+    st.text(st.characters(codec="ascii", exclude_characters="\n"), max_size=300),
+    st.booleans(),
+    st.lists(st.integers(1, 40), min_size=1),
+)
 def test_a_line_is_read_in_any_pieces(text: str, crlf: bool, cuts: list[int]) -> None:
     data = text.encode() + (b"\r\n" if crlf else b"\n")
     reader, got = LineReader(), None
@@ -49,8 +52,12 @@
 
 def test_every_call_has_an_answer_in_every_state() -> None:
     expected = {
-        State.STARTING: "FFF", State.SERVING: "SSS", State.DRAINED: "SSS", State.HANDING_OVER: "FFF",
-        State.LEAVING: "FFF"}
+        State.STARTING: "FFF",
+        State.SERVING: "SSS",
+        State.DRAINED: "SSS",
+        State.HANDING_OVER: "FFF",
+        State.LEAVING: "FFF",
+    }
     for state, answers in expected.items():
         for name, mark in zip(("ready", "drain", "resume"), answers, strict=True):
             lifecycle = Lifecycle()
@@ -59,8 +66,12 @@
             assert isinstance(answer, str)
             assert answer[0] == mark and answer.endswith("\n") and answer.count("\n") == 1, (state, name)
     calls = Calls(Lifecycle(), Figures(()))
-    for line, why in (("reboot", "no such call"), ("drain now", "drain takes no"), ("agree-get x", "no log in common"),
-                      ("agree", "no log in common")):
+    for line, why in (
+        ("reboot", "no such call"),
+        ("drain now", "drain takes no"),
+        ("agree-get x", "no log in common"),
+        ("agree", "no log in common"),
+    ):
         assert str(calls.answer(line)).startswith(f"FAILURE {why}")
 
 
@@ -151,7 +162,7 @@
         await world.start(stack, ops=True)
         stuck = [await asyncio.open_connection("127.0.0.1", world.ops_port) for _ in range(12)]
         for index, (_, writer) in enumerate(stuck):
-            writer.write(b"rea"[:index % 4])
+            writer.write(b"rea"[: index % 4])
         full = [await world.connect() for _ in range(30)]
         async with asyncio.timeout_at(asyncio.get_running_loop().time() + 20):
             assert (await call(world, b"ready\n")).startswith("SUCCESS")
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -34,8 +34,7 @@
     with pytest.raises(AssertionError, match="sound"):
         Counters().holds(False, "sound")
     code = "from chutepin.ops import Counters; c = Counters(); print(c.holds(False, 'sound'), c.text())"
-    done = subprocess.run([sys.executable, "-O", "-c", code], cwd=ROOT, capture_output=True, text=True,
-                          check=True)
+    done = subprocess.run([sys.executable, "-O", "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout == "False invariant.sound=1\n"
 
 
--- a/tests/test_pcap.py
+++ b/tests/test_pcap.py
@@ -29,8 +29,9 @@
 def packet(seq: int, data: bytes, flags: int = dpkt.tcp.TH_ACK, v6: bool = False, port: int = PORT) -> bytes:
     tcp = dpkt.tcp.TCP(sport=50000, dport=port, seq=seq % 2**32, flags=flags, data=data)
     if v6:
-        ip = dpkt.ip6.IP6(src=b"\0" * 15 + b"\1", dst=b"\0" * 15 + b"\1", nxt=dpkt.ip.IP_PROTO_TCP, hlim=64,
-                          plen=len(tcp), data=tcp)
+        ip = dpkt.ip6.IP6(
+            src=b"\0" * 15 + b"\1", dst=b"\0" * 15 + b"\1", nxt=dpkt.ip.IP_PROTO_TCP, hlim=64, plen=len(tcp), data=tcp
+        )
         return bytes(dpkt.ethernet.Ethernet(type=dpkt.ethernet.ETH_TYPE_IP6, data=ip))
     ip = dpkt.ip.IP(src=b"\x7f\0\0\2", dst=b"\x7f\0\0\1", p=dpkt.ip.IP_PROTO_TCP, data=tcp)
     ip.len = len(ip)
@@ -64,8 +65,7 @@
 
 
 @STEPS
-@given(data=st.binary(min_size=1, max_size=400), start=st.integers(2**32 - 300, 2**32 + 10),
-       seed=st.integers(0, 10**6))
+@given(data=st.binary(min_size=1, max_size=400), start=st.integers(2**32 - 300, 2**32 + 10), seed=st.integers(0, 10**6))
 def test_reordered_and_repeated_segments_give_the_same_bytes(data: bytes, start: int, seed: int) -> None:
     rng = random.Random(seed)
     spans = []
@@ -83,8 +83,9 @@
 
 
 def test_what_follows_a_gap_is_reported_and_not_used() -> None:
-    data, report, _ = read(capture([
-        packet(99, b"", dpkt.tcp.TH_SYN), packet(100, b"whole"), packet(110, b"behind"), packet(116, b"!")]))
+    data, report, _ = read(
+        capture([packet(99, b"", dpkt.tcp.TH_SYN), packet(100, b"whole"), packet(110, b"behind"), packet(116, b"!")])
+    )
     assert data == b"whole" and (report.gaps, report.unused) == (1, 7)
 
 
@@ -101,8 +102,7 @@
     assert data == b"first " and report.truncated
 
 
-@pytest.mark.parametrize("raw", [
-    b"", b"text", b"\xd4\xc3\xb2\xa1", capture([])[:20] + struct.pack("<I", 101)])
+@pytest.mark.parametrize("raw", [b"", b"text", b"\xd4\xc3\xb2\xa1", capture([])[:20] + struct.pack("<I", 101)])
 def test_what_is_no_ethernet_capture_is_bad_configuration(raw: bytes) -> None:
     with pytest.raises(ConfigError, match=r"^read: not a"):
         read(raw)
@@ -112,7 +112,7 @@
 @given(at=st.integers(24, 200), junk=st.binary(min_size=1, max_size=40))
 def test_no_damage_crashes_the_reader(at: int, junk: bytes) -> None:
     whole = capture([packet(99, b"", dpkt.tcp.TH_SYN), packet(100, b"one"), packet(103, b"two")])
-    read(whole[:at] + junk + whole[at + len(junk):])
+    read(whole[:at] + junk + whole[at + len(junk) :])
 
 
 def call(number: int, cls: bytes, at: float, body: bytes) -> bytes:
@@ -139,10 +139,16 @@
         async with AsyncExitStack() as stack:
             world = Standins()
             port = world.listen_port = await free_port()
-            source.write_bytes(capture([
-                packet(99, b"", dpkt.tcp.TH_SYN, port=port), packet(150, stream[50:], port=port),
-                packet(100, stream[:50], port=port),
-                packet(100 + len(stream), b"", dpkt.tcp.TH_FIN, port=port)]))
+            source.write_bytes(
+                capture(
+                    [
+                        packet(99, b"", dpkt.tcp.TH_SYN, port=port),
+                        packet(150, stream[50:], port=port),
+                        packet(100, stream[:50], port=port),
+                        packet(100 + len(stream), b"", dpkt.tcp.TH_FIN, port=port),
+                    ]
+                )
+            )
             await world.start(stack, "--read", str(source), "--record", str(record))
             assert world.process is not None and world.process.stderr is not None
             log = (await world.process.stderr.read()).decode()
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -42,9 +42,15 @@
 
 def lone(rng: random.Random) -> Schedule:
     """One voter after the other is cut off, now and then the one that leads."""
-    faults = [fault for number in range(5) for one in [rng.choice(FIVE[:3])] for fault in (
-        split(3.0 + 4 * number, ((one,), [name for name in FIVE if name != one])),
-        Fault(5.5 + 4 * number, "heal"))]
+    faults = [
+        fault
+        for number in range(5)
+        for one in [rng.choice(FIVE[:3])]
+        for fault in (
+            split(3.0 + 4 * number, ((one,), [name for name in FIVE if name != one])),
+            Fault(5.5 + 4 * number, "heal"),
+        )
+    ]
     return Schedule(5, 40.0, tuple(faults))
 
 
@@ -60,8 +66,11 @@
 
 def blackout(rng: random.Random) -> Schedule:
     """All voters lose their power at the same moment, again and again."""
-    faults = [Fault(at + part, what, tuple(FIVE[:3])) for at in range(3, 18, 3)
-              for part, what in ((rng.random(), "crash"), (1.0, "restart"))]
+    faults = [
+        Fault(at + part, what, tuple(FIVE[:3]))
+        for at in range(3, 18, 3)
+        for part, what in ((rng.random(), "crash"), (1.0, "restart"))
+    ]
     return Schedule(5, 34.0, tuple(sorted(faults, key=lambda fault: fault.at)))
 
 
@@ -84,17 +93,33 @@
 def wiped(rng: random.Random) -> Schedule:
     """Two agree without the third; one of these loses its disk and meets the third alone."""
     a, b, c = rng.sample(FIVE[:3], 3)
-    return Schedule(5, 60.0, (
-        split(3.0, ((a, b), (c, "n4", "n5"))), Fault(12.0, "wipe", (b,)),
-        split(12.0, ((a,), (b, c, "n4", "n5"))), Fault(12.5, "restart", (b,)), Fault(25.0, "heal")))
+    return Schedule(
+        5,
+        60.0,
+        (
+            split(3.0, ((a, b), (c, "n4", "n5"))),
+            Fault(12.0, "wipe", (b,)),
+            split(12.0, ((a,), (b, c, "n4", "n5"))),
+            Fault(12.5, "restart", (b,)),
+            Fault(25.0, "heal"),
+        ),
+    )
 
 
 def calm(rng: random.Random) -> Schedule:
     return Schedule(5, 30.0)
 
 
-SCHEDULES = {"parted": parted, "lone": lone, "power": power, "blackout": blackout, "lossy": lossy, "deaf": deaf,
-             "wiped": wiped, "calm": calm}
+SCHEDULES = {
+    "parted": parted,
+    "lone": lone,
+    "power": power,
+    "blackout": blackout,
+    "lossy": lossy,
+    "deaf": deaf,
+    "wiped": wiped,
+    "calm": calm,
+}
 
 
 def played(name: str, seed: int, parts: Parts = SOUND) -> Record:
@@ -114,8 +139,9 @@
 def test_every_claim_holds_under_drawn_faults_and_changes_of_voters(first: int) -> None:
     for seed in range(first, first + 4):
         schedule = draw(seed, (5, 7, 4)[seed % 3], 60.0)
-        record = Simulator(schedule, seed, voters=5 if seed % 3 == 1 else 3, wire=seed % 4 == 0,
-                           changes=4.0 * (seed % 2)).run()
+        record = Simulator(
+            schedule, seed, voters=5 if seed % 3 == 1 else 3, wire=seed % 4 == 0, changes=4.0 * (seed % 2)
+        ).run()
         assert broken(record) == {}, f"seed {seed}"
 
 
@@ -163,8 +189,15 @@
 
 def test_a_node_far_behind_follows_others_and_catches_up_in_pieces() -> None:
     """An observer whose upstream knows no leader any more finds another; a voter that comes late is sent a state."""
-    late = Schedule(14, 60.0, (Fault(4.0, "crash", ("n3", "n14")), Fault(30.0, "restart", ("n3", "n14")),
-                               Fault(40.0, "cut", ("n1", "n4", "n5", "n6"))))
+    late = Schedule(
+        14,
+        60.0,
+        (
+            Fault(4.0, "crash", ("n3", "n14")),
+            Fault(30.0, "restart", ("n3", "n14")),
+            Fault(40.0, "cut", ("n1", "n4", "n5", "n6")),
+        ),
+    )
     simulator = Simulator(late, 3, every=0.02)
     record = simulator.run()
     assert broken(record) == {}
@@ -175,6 +208,7 @@
 
 # --- what is durable ---
 
+
 def entry(index: int, term: int, data: bytes = b"x") -> Entry:
     return Entry(index, term, Kind.PROPOSAL, data)
 
@@ -182,7 +216,8 @@
 @STEPS
 @given(st.randoms(use_true_random=False), st.integers(0, 2**32))
 def test_after_any_cut_the_journal_gives_back_what_was_acknowledged_and_a_beginning_of_the_rest(
-        chance: random.Random, seed: int) -> None:
+    chance: random.Random, seed: int
+) -> None:
     rng = random.Random(seed)
     disk, journal, model = Disk(), Journal(), Durable()
     for _ in range(rng.randrange(1, 25)):
@@ -225,8 +260,9 @@
         return Persist(term, "", 0, (), snapshot, snapshot.upto, True)
     first = rng.randint(known + 1, last + 1)
     term = model.term + 1 if first <= last else term  # what is replaced is of an earlier term
-    return Persist(term, rng.choice(("", "n2")), first,
-                   tuple(entry(first + number, term) for number in range(rng.randint(0, 4))))
+    return Persist(
+        term, rng.choice(("", "n2")), first, tuple(entry(first + number, term) for number in range(rng.randint(0, 4)))
+    )
 
 
 def check_between(loaded: Durable, before: Durable, after: Durable) -> None:
@@ -245,8 +281,12 @@
     disk.lay(journal.write(Persist(1, "n1", 1, (entry(1, 1), entry(2, 1), entry(3, 1)))))
     disk.lay(journal.write(Persist(1, "n1", 0, (), Snapshot(3, 1, Voters(("n1",)), b"state"), 1)))
     disk.sync(len(disk.pending))
-    for key, value in ((entry_key(2), None), (entry_key(2), msgpack.packb([9, 1, 1, b"", None])),
-                       (b"agree/snapshot/3/0", b"other"), (b"agree/term", b"\xc1")):
+    for key, value in (
+        (entry_key(2), None),
+        (entry_key(2), msgpack.packb([9, 1, 1, b"", None])),
+        (b"agree/snapshot/3/0", b"other"),
+        (b"agree/term", b"\xc1"),
+    ):
         hurt = Disk()
         hurt.durable = dict(disk.durable)
         hurt.lay([(key, value)])
@@ -259,17 +299,23 @@
 
 CHANGE = Entry(4, 3, Kind.VOTERS, b"", Voters(("n1", "n2"), ("n3~a",)))
 WORDS: list[Said] = [
-    Hello("fleet", "n1", "n1~ab", "n2", 1), Append(3, 2, 1, (entry(3, 2), CHANGE), 2, 9),
-    Piece(1, 5, 1, Voters(("n1",)), 3, 77, 0, b"abc", 4), Forward(bytes(16), 1, b"data"),
-    Rejected(bytes(16), "full", False), Pull(1, 0, 0, 3), Meet("n1", "ab"), Greet(True),
-    Feed((entry(1, 1),), "n1", -1, 2, Voters(("n1",)), 0, 0, 0, 0, 0, b"")]
+    Hello("fleet", "n1", "n1~ab", "n2", 1),
+    Append(3, 2, 1, (entry(3, 2), CHANGE), 2, 9),
+    Piece(1, 5, 1, Voters(("n1",)), 3, 77, 0, b"abc", 4),
+    Forward(bytes(16), 1, b"data"),
+    Rejected(bytes(16), "full", False),
+    Pull(1, 0, 0, 3),
+    Meet("n1", "ab"),
+    Greet(True),
+    Feed((entry(1, 1),), "n1", -1, 2, Voters(("n1",)), 0, 0, 0, 0, 0, b""),
+]
 
 
 def test_words_come_out_of_their_bytes_as_they_went_in_however_they_are_cut() -> None:
     data = b"".join(map(encode, WORDS))
     for step in (1, 7, len(data)):
         reader = Reader()
-        assert [word for at in range(0, len(data), step) for word in reader.feed(data[at:at + step])] == WORDS
+        assert [word for at in range(0, len(data), step) for word in reader.feed(data[at : at + step])] == WORDS
 
 
 @STEPS
@@ -296,6 +342,7 @@
 
 # --- identities ---
 
+
 def test_a_store_votes_once_all_others_have_met_it_and_a_new_one_never_under_the_same_name() -> None:
     voters = ("n1", "n2", "n3")
     first, other, third = (Identity(name, voters, f"b{name}", None, {}) for name in voters)
--- a/tests/test_repo.py
+++ b/tests/test_repo.py
@@ -43,7 +43,9 @@
     assert problems([Known(here, "a", "1")] * 3) == []
     assert problems([Known(here, "a", "1")] * 4) == ["4 tests are listed, 3 at most"]
     assert problems([Known(here + "_not", "a", "1"), Known("tests/none.py::test", "a", "1")]) == [
-        f"no such test: {here}_not", "no such test: tests/none.py::test"]
+        f"no such test: {here}_not",
+        "no such test: tests/none.py::test",
+    ]
 
 
 def test_a_known_red_line_of_another_shape_is_an_error(tmp_path: Path) -> None:
@@ -62,7 +64,13 @@
         (tests / name).write_text((ROOT / "tests" / name).read_text())
     (tests / "test_one.py").write_text(f"def test_one() -> None:\n    assert {passes}\n")
     (tmp_path / FILE).write_text("tests/test_one.py::test_one | a cause | issue 1\n" if on_list else "")
-    ran = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"], cwd=tmp_path, text=True,
-                         env={**os.environ, "PYTHONPATH": str(ROOT)}, capture_output=True, check=False)
+    ran = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"],
+        cwd=tmp_path,
+        text=True,
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+        capture_output=True,
+        check=False,
+    )
     assert ran.returncode == code, ran.stdout
     assert ("KNOWN RED tests/test_one.py::test_one: a cause (issue 1)" in ran.stdout) == on_list
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,8 +20,7 @@
     "level": replace(BASE, signal=Signal.LEVEL),
     "silent": replace(BASE, signal=Signal.NONE),
     "no halt": replace(BASE, halt=Halt.NONE),
-    "no halt, a small crowd, cold": cold(
-        replace(BASE, halt=Halt.NONE, crowd=2.0, memory=1e5, warm_after=60.0)),
+    "no halt, a small crowd, cold": cold(replace(BASE, halt=Halt.NONE, crowd=2.0, memory=1e5, warm_after=60.0)),
     "a crowd of one": replace(BASE, crowd=1.0, memory=1e5),
     "pause": replace(BASE, halt=Halt.PAUSE),
     "pause, tiny memory": replace(BASE, halt=Halt.PAUSE, memory=900.0),
@@ -32,8 +31,7 @@
     "call share under one": replace(BASE, calls_out=0.6),
     "call share far under one": replace(BASE, calls_out=0.05),
     "credit for more callers than permits": replace(BASE, signal=Signal.CREDIT, callers=1000),
-    "quota too small for one request": replace(
-        BASE, tenants=(Tenant("a", 0.5, 0.001), Tenant("b", 0.5, 0.0))),
+    "quota too small for one request": replace(BASE, tenants=(Tenant("a", 0.5, 0.001), Tenant("b", 0.5, 0.0))),
     "table of at most one connection": replace(BASE, gauges=("links",)),
     "no idle connections": replace(BASE, idle_max=0.0),
     "windows beyond memory": replace(BASE, key_memory=400.0),
@@ -162,8 +160,9 @@
 
 
 @pytest.mark.parametrize(("guard", "without", "broken", "settings"), GUARDS)
-def test_each_guard_is_needed(guard: str, without: Callable[..., Any], broken: str, settings: Settings,
-                              monkeypatch: pytest.MonkeyPatch) -> None:
+def test_each_guard_is_needed(
+    guard: str, without: Callable[..., Any], broken: str, settings: Settings, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """With a guard taken out, some sequence breaks the rule that it keeps."""
     monkeypatch.setattr(Policy, guard, without)
     seen: list[str] = []
--- a/tests/test_setup.py
+++ b/tests/test_setup.py
@@ -16,13 +16,15 @@
 
 
 def chutepin(*arguments: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "chutepin", *arguments], cwd=ROOT, capture_output=True, text=True,
-                          check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "chutepin", *arguments], cwd=ROOT, capture_output=True, text=True, check=False
+    )
 
 
 def test_units_are_turned_into_the_base_unit() -> None:
-    setup = parse_setup('store { directory "d"; segment (KiB)512; max (GiB)0.5; sync-every (s)0.25 }\n'
-                        'log { format "json" }')
+    setup = parse_setup(
+        'store { directory "d"; segment (KiB)512; max (GiB)0.5; sync-every (s)0.25 }\nlog { format "json" }'
+    )
     assert setup.store == StoreSetup("d", 2**19, 2**29, 16 * 2**20, 0.25)
     assert setup.log == LogSetup(LogFormat.JSON)
 
@@ -33,24 +35,27 @@
     assert parse_setup(text.replace("/-store", "store")).store == StoreSetup("/var/lib/chutepin/store")
 
 
-@pytest.mark.parametrize(("text", "message"), [
-    ("store { directory 5 }", "store.directory: missing or not a text"),
-    ("store { segment (MiB)1 }", "store.directory: missing"),
-    ('store { directory "d"; segment 8 }', "store.segment: 8 states no unit; write (B)8 or another of B, KiB"),
-    ('store { directory "d"; segment (ms)8 }', "store.segment: unknown unit ms; known are B, KiB, MiB, GiB"),
-    ('store { directory "d"; sync-every (s)61 }', "store.sync-every: (s)61 is out of range"),
-    ('store { directory "d"; sync-every (s)"1" }', "store.sync-every: not a number"),
-    ('store { directory "d"; sync-every (ms)#true }', "store.sync-every: not a number"),
-    ('store { directory "d"; max (MiB)32 }', "store.max: less than 8 times store.segment"),
-    ('store { directory "d"; directory "e" }', "store.directory: given twice"),
-    ('store { directory "d" "e" }', "store.directory: takes one value"),
-    ('store "d"', "store: takes a block in braces"),
-    ("log {}\nlog {}", "log: given twice"),
-    ('log { format "xml" }', "log.format: not one of plain, json"),
-    ('log { colour "red" }', "log.colour: unknown; known are format"),
-    ("stor {}", "stor: unknown block; known are log, store"),
-    ("store {", "not KDL: "),
-])
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ("store { directory 5 }", "store.directory: missing or not a text"),
+        ("store { segment (MiB)1 }", "store.directory: missing"),
+        ('store { directory "d"; segment 8 }', "store.segment: 8 states no unit; write (B)8 or another of B, KiB"),
+        ('store { directory "d"; segment (ms)8 }', "store.segment: unknown unit ms; known are B, KiB, MiB, GiB"),
+        ('store { directory "d"; sync-every (s)61 }', "store.sync-every: (s)61 is out of range"),
+        ('store { directory "d"; sync-every (s)"1" }', "store.sync-every: not a number"),
+        ('store { directory "d"; sync-every (ms)#true }', "store.sync-every: not a number"),
+        ('store { directory "d"; max (MiB)32 }', "store.max: less than 8 times store.segment"),
+        ('store { directory "d"; directory "e" }', "store.directory: given twice"),
+        ('store { directory "d" "e" }', "store.directory: takes one value"),
+        ('store "d"', "store: takes a block in braces"),
+        ("log {}\nlog {}", "log: given twice"),
+        ('log { format "xml" }', "log.format: not one of plain, json"),
+        ('log { colour "red" }', "log.colour: unknown; known are format"),
+        ("stor {}", "stor: unknown block; known are log, store"),
+        ("store {", "not KDL: "),
+    ],
+)
 def test_a_fault_is_one_line_naming_file_and_field(text: str, message: str, tmp_path: Path) -> None:
     path = tmp_path / "node.kdl"
     path.write_text(text)
@@ -63,8 +68,14 @@
     path = tmp_path / "bad.kdl"
     path.write_text("log { format 5 }")
     for arguments in (["node", "--setup", str(path)], ["--setup", str(path)]):  # options without a command: the node's
-        done = subprocess.run([sys.executable, "-m", "chutepin", *arguments], cwd=ROOT, capture_output=True, text=True,
-                              env={"LB_CONFIG": str(ROOT / "deploy" / "example.json")}, check=False)
+        done = subprocess.run(
+            [sys.executable, "-m", "chutepin", *arguments],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            env={"LB_CONFIG": str(ROOT / "deploy" / "example.json")},
+            check=False,
+        )
         assert done.returncode == 2 and done.stderr == f"chutepin: {path}: log.format: not one of plain, json\n"
 
 
@@ -75,8 +86,10 @@
 
 
 def test_a_node_loads_no_library_of_the_tools() -> None:
-    code = ("import sys; import chutepin.node, chutepin.serve; from chutepin.ops import Clock, Log; Log(Clock())\n"
-            "print(sorted({'click', 'rich', 'ckdl', 'google_crc32c', 'pamqp', 'dpkt'} & set(sys.modules)))")
+    code = (
+        "import sys; import chutepin.node, chutepin.serve; from chutepin.ops import Clock, Log; Log(Clock())\n"
+        "print(sorted({'click', 'rich', 'ckdl', 'google_crc32c', 'pamqp', 'dpkt'} & set(sys.modules)))"
+    )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout == "[]\n"
 
@@ -90,8 +103,10 @@
 
 
 def test_a_node_without_the_block_loads_nothing_of_the_cluster() -> None:
-    code = ("import sys; import chutepin.serve; from chutepin.config import parse_setup; parse_setup('log {}'); "
-            "print([name for name in sys.modules if 'cluster' in name or 'agree' in name or name == 'msgpack'])")
+    code = (
+        "import sys; import chutepin.serve; from chutepin.config import parse_setup; parse_setup('log {}'); "
+        "print([name for name in sys.modules if 'cluster' in name or 'agree' in name or name == 'msgpack'])"
+    )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout == "[]\n"
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -95,6 +95,7 @@
 def test_a_signal_that_crosses_the_start_is_kept_until_the_loop_hears_it(number: signal.Signals) -> None:
     """The configuration is a pipe: the program is known to be reading it, and goes on only once the signal was sent.
     What it reads leads to an executor that is not there; the file that lies there since then leads to the right one."""
+
     async def test(world: Standins, stack: AsyncExitStack) -> None:
         world.port = await free_port()
         world.path = Path(stack.enter_context(tempfile.TemporaryDirectory())) / "config.json"
@@ -138,6 +139,7 @@
 
 def on_front(test: Callable[[Core, Front, int], Awaitable[None]]) -> None:
     """Run a test with a front that listens on a real socket, over a core with recording ports."""
+
     async def run() -> None:
         core = Core()
         front = Front(core.broker, core.hand.clock, core.counters, Log(core.hand.clock), 64)
@@ -151,8 +153,15 @@
 
 def call(core: Core, tag: int, cls: str = "position-push", **fields: object) -> bytes:
     """A request by the clock of the test."""
-    told = {"i": f"{tag:016x}", "s": int(core.hand.time * 1000), "f": 1, "t": "bernard-lodge", "d": 5000, "m": 24.5,
-            "p": 0.5} | fields
+    told = {
+        "i": f"{tag:016x}",
+        "s": int(core.hand.time * 1000),
+        "f": 1,
+        "t": "bernard-lodge",
+        "d": 5000,
+        "m": 24.5,
+        "p": 0.5,
+    } | fields
     return array(b"RPC.CALL", b"%d" % tag, cls.encode(), ",".join(f"{k}={v}" for k, v in told.items()).encode(), b"x")
 
 
@@ -275,6 +284,7 @@
 
 def on_links(test: Callable[[AsyncExitStack], Awaitable[None]]) -> None:
     """Run a test, in bounded time."""
+
     async def run() -> None:
         async with asyncio.timeout_at(asyncio.get_running_loop().time() + 15), AsyncExitStack() as stack:
             await test(stack)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -45,8 +45,9 @@
         return self.engine
 
     def start(self) -> None:
-        self.engine = Engine.open(self.files, self.limits, lambda: self.time,
-                                  lambda name, **fields: self.events.append((name, fields)))
+        self.engine = Engine.open(
+            self.files, self.limits, lambda: self.time, lambda name, **fields: self.events.append((name, fields))
+        )
 
     def put(self, key: bytes, value: bytes, expires: float = math.inf) -> None:
         self._wait(lambda waited: self.open.put(key, value, expires, waited))
@@ -272,7 +273,7 @@
     # Of the record all but its last sector's end is on the disk.
     files = world.files.after("all")
     name = f"{number.number:010d}.seg"
-    files.seen[name].seen[number.end - 5:number.end] = bytes(5)
+    files.seen[name].seen[number.end - 5 : number.end] = bytes(5)
     again = World(files)
     again.start()
     assert contents(again.open) == {b"a": b"kept"}
@@ -306,7 +307,8 @@
     for at in range(20 + part, total, 8):  # before that the store is not open yet
         world = World()
         world.files.fail = lambda _operation, _name, world=world, at=at: (  # type: ignore[misc]
-            OSError(number, "made up") if world.files.operations == at else None)
+            OSError(number, "made up") if world.files.operations == at else None
+        )
         try:
             script(world)
         except StoreFailed:
@@ -332,7 +334,8 @@
     for world in (made, empty):
         start = world.files.operations
         world.files.fail = lambda _operation, _name, world=world, start=start: (  # type: ignore[misc]
-            OSError(errno.EROFS, "Read-only file system") if world.files.operations >= start + at else None)
+            OSError(errno.EROFS, "Read-only file system") if world.files.operations >= start + at else None
+        )
         try:
             Engine.open(world.files, LIMITS, lambda: 1000.0, lambda *_, **__: None).close()
         except StoreError as error:
@@ -364,8 +367,14 @@
     world.settle()
     full = True
     world.files.fail = lambda operation, name: (
-        OSError(errno.ENOSPC, "No space left") if full and operation == "write" and not name[0] == "A"
-        and world.files.seen.get(name) is not None and not world.files.seen[name].seen else None)
+        OSError(errno.ENOSPC, "No space left")
+        if full
+        and operation == "write"
+        and not name[0] == "A"
+        and world.files.seen.get(name) is not None
+        and not world.files.seen[name].seen
+        else None
+    )
     with pytest.raises(StoreFull, match="No space left"):
         for index in range(100):
             world.put(b"%d" % index, b"v" * 100)
@@ -483,13 +492,19 @@
         except StoreFull:
             assert self.world.open.book.live > LIMITS.capacity / 2
 
-    @rule(first=st.integers(0, 12), count=st.integers(1, 12), size=st.integers(0, 200), even=st.booleans(),
-          life=st.sampled_from([2.0, math.inf]))
+    @rule(
+        first=st.integers(0, 12),
+        count=st.integers(1, 12),
+        size=st.integers(0, 200),
+        even=st.booleans(),
+        life=st.sampled_from([2.0, math.inf]),
+    )
     def put_many(self, first: int, count: int, size: int, even: bool, life: float) -> None:
         """New keys of one length, or keys that are there and keys twice."""
         world = self.world
-        names = [b"%03d" % (len(world.states) % 1000 + i) if even else b"%d" % ((first + i * i) % 13)
-                 for i in range(count)]
+        names = [
+            b"%03d" % (len(world.states) % 1000 + i) if even else b"%d" % ((first + i * i) % 13) for i in range(count)
+        ]
         items = [(name, b"%d" % i * size) for i, name in enumerate(names)]
         try:
             while items:
@@ -566,8 +581,9 @@
             assert book.disk <= LIMITS.max_bytes
 
 
-Model.TestCase.settings = settings(STEPS, max_examples=60, stateful_step_count=40,
-                                   suppress_health_check=list(HealthCheck))
+Model.TestCase.settings = settings(
+    STEPS, max_examples=60, stateful_step_count=40, suppress_health_check=list(HealthCheck)
+)
 TestModel = Model.TestCase
 
 
--- a/tests/test_store_threads.py
+++ b/tests/test_store_threads.py
@@ -198,8 +198,9 @@
         assert dict(again.items()) == whole and len(again) == len(whole)
 
 
-@pytest.mark.parametrize("arguments", [
-    {"segment_bytes": 100}, {"max_bytes": 2**11}, {"segment_bytes": 2**31, "max_bytes": 2**40}])
+@pytest.mark.parametrize(
+    "arguments", [{"segment_bytes": 100}, {"max_bytes": 2**11}, {"segment_bytes": 2**31, "max_bytes": 2**40}]
+)
 def test_limits_that_can_not_work_are_refused(tmp_path: Path, arguments: dict[str, int]) -> None:
     with pytest.raises(StoreError, match="_bytes: "):
         Store.open(tmp_path, **arguments)  # type: ignore[arg-type]
@@ -207,8 +208,11 @@
 
 def test_what_can_not_be_put_is_refused(tmp_path: Path) -> None:
     with Store.open(tmp_path, segment_bytes=4096, max_bytes=2**17) as store:
-        for key, value, expires, why in ((b"k" * 70000, b"", 1.0, "a key of"), (b"k", bytes(4096), 1.0, "at most"),
-                                         (b"k", b"", math.nan, "not a number")):
+        for key, value, expires, why in (
+            (b"k" * 70000, b"", 1.0, "a key of"),
+            (b"k", bytes(4096), 1.0, "at most"),
+            (b"k", b"", math.nan, "not a number"),
+        ):
             with pytest.raises(StoreError, match=why):
                 store.put(key, value, expires)
 
@@ -217,7 +221,7 @@
     whole = os.pwritev
 
     def short(descriptor: int, buffers: Sequence[bytes], offset: int) -> int:
-        return whole(descriptor, [bytes(buffers[0])[:max(1, len(buffers[0]) // 2)]], offset)
+        return whole(descriptor, [bytes(buffers[0])[: max(1, len(buffers[0]) // 2)]], offset)
 
     monkeypatch.setattr(os, "pwritev", short)
     with Store.open(tmp_path, max_bytes=2**20) as store:
@@ -274,7 +278,13 @@
     assert json.loads(chutepin("store", "stat", str(old)).stdout)["keys"] == 41
     rows = [json.loads(row) for row in chutepin("store", "dump", str(old)).stdout.splitlines()]
     assert len(rows) == 41 and rows[-1] | {"seq": 0} == {
-        "seq": 0, "kind": "put", "key": "0xff", "expires": 4e9, "bytes": 4, "value": "text"}
+        "seq": 0,
+        "kind": "put",
+        "key": "0xff",
+        "expires": 4e9,
+        "bytes": 4,
+        "value": "text",
+    }
     compacted = json.loads(chutepin("store", "compact", str(old)).stdout)
     assert compacted["keys"] == 41 and compacted["disk_bytes"] < compacted["disk_bytes_before"]
     segment = next(path for path in sorted(old.glob("*.seg")) if path.read_bytes()[64:].strip(b"\0"))
@@ -306,7 +316,13 @@
     (tmp_path / "store" / "MANIFEST").write_bytes(b"")
     config = tmp_path / "config.json"
     config.write_text(json.dumps(EXAMPLE))
-    done = subprocess.run([sys.executable, "-m", "chutepin", "node", "--setup", str(setup)], cwd=ROOT, text=True,
-                          env={**os.environ, "LB_CONFIG": str(config)}, capture_output=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "chutepin", "node", "--setup", str(setup)],
+        cwd=ROOT,
+        text=True,
+        env={**os.environ, "LB_CONFIG": str(config)},
+        capture_output=True,
+        check=False,
+    )
     assert done.returncode == 2 and done.stderr.startswith("chutepin: store.directory: ") and "MANIFEST" in done.stderr
     assert done.stderr.count("\n") == 1
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,12 +18,31 @@
 UNSAFE = RequestClass("send", Repeat.UNSAFE, 2.0, 1.0, 2.5, 0.0, 0.0, True)
 
 BASE = Settings(
-    classes=(SAFE, KEYED, UNSAFE), cores=2, memory=4000.0,
+    classes=(SAFE, KEYED, UNSAFE),
+    cores=2,
+    memory=4000.0,
     tenants=(Tenant("a", 0.5, 20.0), Tenant("b", 0.5, 5.0)),
-    servers=2, callers=3, cold_from=0.3, warm_after=5.0, answer_slack=0.06, drain_grace=0.5, crowd=6.0,
-    crowd_over=1.0, run_factor=8.0, key_memory=40.0, halt=Halt.DROP, signal=Signal.WEIGHT, max_hold_off=1.0,
-    calls_below=True, calls_out=3.0, calls_over=2.0, linger=0.2, gauges=("core_use",),
-    over_share_worth=0.1, tick=0.005)
+    servers=2,
+    callers=3,
+    cold_from=0.3,
+    warm_after=5.0,
+    answer_slack=0.06,
+    drain_grace=0.5,
+    crowd=6.0,
+    crowd_over=1.0,
+    run_factor=8.0,
+    key_memory=40.0,
+    halt=Halt.DROP,
+    signal=Signal.WEIGHT,
+    max_hold_off=1.0,
+    calls_below=True,
+    calls_out=3.0,
+    calls_over=2.0,
+    linger=0.2,
+    gauges=("core_use",),
+    over_share_worth=0.1,
+    tick=0.005,
+)
 
 
 class RuleBrokenError(AssertionError):
@@ -114,8 +133,9 @@
             if item.cls.calls and not item.done and self.rng.random() < 0.6:
                 item.done = True
                 item.state = "over" if item.answered else "at_call"
-                events.append(api.CallNeeded(item.req.id) if not item.answered
-                              else api.Finished(item.req.id, Outcome.CANCELLED))
+                events.append(
+                    api.CallNeeded(item.req.id) if not item.answered else api.Finished(item.req.id, Outcome.CANCELLED)
+                )
             else:
                 item.state = "over"
                 outcome = Outcome.ERROR if self.rng.random() < 0.1 else Outcome.OK
@@ -141,8 +161,9 @@
     def _call_ends(self, item: Tracked, events: list[api.Event]) -> None:
         outcome = Outcome.OK
         if self.rng.random() < self.call_failures:
-            outcome = self.rng.choice([Outcome.ERROR, Outcome.BUSY, Outcome.TIMEOUT, Outcome.CONNECT_FAILED,
-                                       Outcome.RESET])
+            outcome = self.rng.choice(
+                [Outcome.ERROR, Outcome.BUSY, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET]
+            )
         item.unproven |= outcome not in (Outcome.BUSY, Outcome.CONNECT_FAILED)
         item.state = "running" if outcome is Outcome.OK else "at_call"
         if outcome is Outcome.TIMEOUT:
@@ -155,20 +176,33 @@
         unread = self.rng.choice([0.0, 0.0, 0.01, 0.4])
         repeats, effect = None, self.serial
         if cls.repeat is Repeat.KEYED and self.rng.random() < 0.5:
-            old = [t for t in self.requests.values()
-                   if t.cls is cls and self.now - unread - t.arrived < cls.window]
+            old = [t for t in self.requests.values() if t.cls is cls and self.now - unread - t.arrived < cls.window]
             if old:
                 origin = self.rng.choice(old)
                 effect = origin.effect
-                kept = [t for t in old if t.effect == effect
-                        and (t.read == self.now or self.table.get(t.req.id, 0.0) >= self.now - unread)]
+                kept = [
+                    t
+                    for t in old
+                    if t.effect == effect and (t.read == self.now or self.table.get(t.req.id, 0.0) >= self.now - unread)
+                ]
                 repeats = kept[-1].req.id if kept else None
         wait = self.rng.choice([cls.deadline, cls.deadline, 0.4, 0.05])
         due = self.now - unread + wait if self.rng.random() < self.dues else None
         tenant = self.rng.choice(self.settings.tenants).name if self.settings.tenants else None
-        req = api.Request(f"r{self.serial}", cls.name, unread, self.rng.uniform(5, 30), tenant, None, due,
-                          self.rng.choice([None, 0.1, 0.5]), 0.5, self.rng.randrange(self.callers), repeats,
-                          self.marks > 0 and self.rng.random() < self.marks)
+        req = api.Request(
+            f"r{self.serial}",
+            cls.name,
+            unread,
+            self.rng.uniform(5, 30),
+            tenant,
+            None,
+            due,
+            self.rng.choice([None, 0.1, 0.5]),
+            0.5,
+            self.rng.randrange(self.callers),
+            repeats,
+            self.marks > 0 and self.rng.random() < self.marks,
+        )
         arrived = self.now - unread
         due = max(self.now, arrived + cls.deadline if due is None else due)
         self.requests[req.id] = Tracked(req, cls, arrived, due, self.now, effect=effect)
@@ -280,11 +314,11 @@
             in_hand = float(calling + len(self.lingering))
             self._mean(self.calls, in_hand, s.calls_over, s.calls_out, "calls below")
         if len(self.requests) > 600:
-            self.requests = {k: t for k, t in self.requests.items()
-                             if t.state != "over" or self.now - t.arrived < 2 * t.cls.window}
+            self.requests = {
+                k: t for k, t in self.requests.items() if t.state != "over" or self.now - t.arrived < 2 * t.cls.window
+            }
 
-    def _mean(self, steps: list[tuple[float, float]], value: float, over: float, most: float,
-              what: str) -> None:
+    def _mean(self, steps: list[tuple[float, float]], value: float, over: float, most: float, what: str) -> None:
         steps.append((self.now, value))
         while steps[0][0] < self.now - over:
             steps.pop(0)
