Subsystems: the registry that builds them is a module above their protocol

Change: subsystem.py knows the protocol alone; registry.py builds what the operator's file asks for and is imported by node.py alone. No change of behaviour.

--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -27,7 +27,7 @@
 from .net.records import RecordsService
 from .net.resp import SWEEP, Front
 from .ops import Clock, Counters, Log, LogFormat
-from .subsystem import subsystems
+from .registry import build_subsystems
 
 if TYPE_CHECKING:
     from .admin import Listener
@@ -185,7 +185,7 @@
         self.store: Store | None = None
         if self.setup.store is not None:  # loaded only where an operator switches it on
             self.store = _open_store(self.setup.store, self.clock, self.log)
-        self.subsystems = subsystems(config, self.setup, self.ledger, self.counters, self.log, self.store)
+        self.subsystems = build_subsystems(config, self.setup, self.ledger, self.counters, self.log, self.store)
         self.listener: Listener | None = None
         if config.ops is not None:  # loaded only where operators call
             from .admin import Calls, Listener
--- /dev/null
+++ b/chutepin/registry.py
@@ -0,0 +1,32 @@
+"""Builds the subsystems that the operator's file asks for.
+
+A subsystem's package is imported only where its block is there: a node without the block loads nothing of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .admission import Ledger
+    from .config import Config, Setup
+    from .ops import Counters, Log
+    from .store import Store
+    from .subsystem import Subsystem
+
+
+def build_subsystems(
+    config: Config, setup: Setup, ledger: Ledger, counters: Counters, log: Log, store: Store | None
+) -> list[Subsystem]:
+    """Build each subsystem that has a block in `setup`, in the order in which they start.
+
+    `agree` needs the cluster and a store; the file's check refuses it without them."""
+    if setup.cluster is None:
+        return []
+    from .cluster.subsystem import Cluster
+
+    cluster = Cluster(setup.cluster, config.name, config.seed, ledger, counters, log, store)
+    if setup.agree is None or store is None:
+        return [cluster]
+    from .agree.subsystem import Agreement
+
+    return [cluster, Agreement(setup.agree, config.name, cluster, store, ledger, counters, log)]
--- a/chutepin/subsystem.py
+++ b/chutepin/subsystem.py
@@ -1,19 +1,12 @@
-"""The shape of a subsystem that the operator's file switches on, and the list of those that a node holds.
+"""The protocol between a node and the subsystems that the operator's file switches on.
 
-The node knows none of them by name. Each is loaded only where its block is there."""
+It knows no subsystem by name; `registry` builds them."""
 
 from __future__ import annotations
 
 import socket
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Protocol
-
-if TYPE_CHECKING:
-    from .admission import Ledger
-    from .config import Config, Setup
-    from .ops import Counters, Log
-    from .store import Store
-
+from typing import Protocol
 
 Order = Callable[[list[str]], Awaitable[str]]
 
@@ -50,20 +43,3 @@
 
     def leave(self) -> None:
         """The process is told to end and will soon."""
-
-
-def subsystems(
-    config: Config, setup: Setup, ledger: Ledger, counters: Counters, log: Log, store: Store | None
-) -> list[Subsystem]:
-    """Those that the operator's file asks for."""
-    found: list[Subsystem] = []
-    if setup.cluster is not None:
-        from .cluster.subsystem import Cluster
-
-        cluster = Cluster(setup.cluster, config.name, config.seed, ledger, counters, log, store)
-        found.append(cluster)
-        if setup.agree is not None and store is not None:
-            from .agree.subsystem import Agreement
-
-            found.append(Agreement(setup.agree, config.name, cluster, store, ledger, counters, log))
-    return found
