Configuration: the checks that the blocks share are a module below them

Change: the checks moved as they were to config/checks.py, below all three; their docstrings' first lines now say what each does. No check, bound or message changed.

--- a/chutepin/config/agree.py
+++ b/chutepin/config/agree.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from .checks import TIME, Check, Many, quantity, size, text
 from .cluster import MAX_NAME
-from .operator import TIME, Check, Many, quantity, size, text
 from .platform import ConfigError
 
 
--- /dev/null
+++ b/chutepin/config/checks.py
@@ -0,0 +1,94 @@
+"""Checks of single values in the operator's file, shared by all blocks.
+
+A check takes a value of the document and the name of its field, and returns the value that it means in the base unit.
+It raises `ConfigError` with one line that names the field."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .platform import ConfigError
+
+TIME = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}  # in seconds
+SIZE = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # in bytes
+RATE = {"per-s": 1.0, "per-min": 1 / 60}  # events a second
+SHARE = {"%": 0.01}
+
+Check = Callable[[Any, str], Any]  # (a value of the document, its field) to the value it means
+
+
+@dataclass(frozen=True, slots=True)
+class Many:
+    """A setting that takes one value or several."""
+
+    check: Check
+
+
+def quantity(units: Mapping[str, float], least: float, most: float) -> Check:
+    """Return a check for a number with one of these units, within bounds in the base unit."""
+
+    def check(raw: Any, name: str) -> float:
+        unit, value = getattr(raw, "type_annotation", None), getattr(raw, "value", raw)
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            raise ConfigError(f"{name}: not a number")
+        if unit is None:
+            raise ConfigError(
+                f"{name}: {value} states no unit; write ({next(iter(units))}){value} or another of " + ", ".join(units)
+            )
+        if unit not in units:
+            raise ConfigError(f"{name}: unknown unit {unit}; known are {', '.join(units)}")
+        if not least <= value * units[unit] <= most:
+            raise ConfigError(f"{name}: ({unit}){value} is out of range")
+        return value * units[unit]
+
+    return check
+
+
+def size(least: int, most: int) -> Check:
+    """Return a check for a number of bytes."""
+    checked = quantity(SIZE, least, most)
+    return lambda raw, name: int(checked(raw, name))
+
+
+def count(unit: str, least: int, most: int) -> Check:
+    """Return a check for a whole number of what the unit names."""
+    checked = quantity({unit: 1}, least, most)
+
+    def check(raw: Any, name: str) -> int:
+        value = checked(raw, name)
+        if value != int(value):
+            raise ConfigError(f"{name}: ({unit}){value} is no whole number")
+        return int(value)
+
+    return check
+
+
+def network(raw: Any, name: str) -> str:
+    """Check an IP address, or a network as address/bits; return it as a network."""
+    try:
+        return str(ipaddress.ip_network(text(raw, name)))
+    except ValueError as error:
+        if isinstance(error, ConfigError):
+            raise
+        raise ConfigError(f"{name}: {error}") from None
+
+
+def text(raw: Any, name: str) -> str:
+    """Check that a value is a text and not empty."""
+    if not isinstance(raw, str) or not raw:
+        raise ConfigError(f"{name}: missing or not a text")
+    return raw
+
+
+def choice(*known: str) -> Check:
+    """Return a check for one of a few words."""
+
+    def check(raw: Any, name: str) -> str:
+        if raw not in known:
+            raise ConfigError(f"{name}: not one of {', '.join(known)}")
+        return str(raw)
+
+    return check
--- a/chutepin/config/cluster.py
+++ b/chutepin/config/cluster.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .operator import TIME, Check, Many, count, quantity, text
+from .checks import TIME, Check, Many, count, quantity, text
 from .platform import Address, ConfigError, address
 
 MAX_NAME = 64
--- a/chutepin/config/operator.py
+++ b/chutepin/config/operator.py
@@ -7,28 +7,22 @@
 from __future__ import annotations
 
 import importlib
-import ipaddress
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from ..ops import LogFormat
+from .checks import RATE, SHARE, TIME, Check, Many, choice, count, network, quantity, size, text
 from .platform import ConfigError
 
 if TYPE_CHECKING:
     from .agree import AgreeSetup
     from .cluster import ClusterSetup
 
-TIME = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}  # in seconds
-SIZE = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # in bytes
-RATE = {"per-s": 1.0, "per-min": 1 / 60}  # events a second
-SHARE = {"%": 0.01}
 MAX_NETWORKS = 1024  # in one list
 MAX_FILE = 256 * 1024  # bytes of an operator's file
 
-Check = Callable[[Any, str], Any]  # (a value of the document, its field) to the value it means
-
 
 @dataclass(frozen=True, slots=True)
 class LogSetup:
@@ -81,80 +75,6 @@
     agree: AgreeSetup | None = None
 
 
-def quantity(units: Mapping[str, float], least: float, most: float) -> Check:
-    """A number with one of these units, within bounds that are given in the base unit."""
-
-    def check(raw: Any, name: str) -> float:
-        unit, value = getattr(raw, "type_annotation", None), getattr(raw, "value", raw)
-        if isinstance(value, bool) or not isinstance(value, (int, float)):
-            raise ConfigError(f"{name}: not a number")
-        if unit is None:
-            raise ConfigError(
-                f"{name}: {value} states no unit; write ({next(iter(units))}){value} or another of " + ", ".join(units)
-            )
-        if unit not in units:
-            raise ConfigError(f"{name}: unknown unit {unit}; known are {', '.join(units)}")
-        if not least <= value * units[unit] <= most:
-            raise ConfigError(f"{name}: ({unit}){value} is out of range")
-        return value * units[unit]
-
-    return check
-
-
-def size(least: int, most: int) -> Check:
-    """Bytes."""
-    checked = quantity(SIZE, least, most)
-    return lambda raw, name: int(checked(raw, name))
-
-
-def count(unit: str, least: int, most: int) -> Check:
-    """A whole number of things that the unit names."""
-    checked = quantity({unit: 1}, least, most)
-
-    def check(raw: Any, name: str) -> int:
-        value = checked(raw, name)
-        if value != int(value):
-            raise ConfigError(f"{name}: ({unit}){value} is no whole number")
-        return int(value)
-
-    return check
-
-
-def network(raw: Any, name: str) -> str:
-    """An address, or a network as address/bits."""
-    try:
-        return str(ipaddress.ip_network(text(raw, name)))
-    except ValueError as error:
-        if isinstance(error, ConfigError):
-            raise
-        raise ConfigError(f"{name}: {error}") from None
-
-
-@dataclass(frozen=True, slots=True)
-class Many:
-    """A setting that takes one value or several."""
-
-    check: Check
-
-
-def text(raw: Any, name: str) -> str:
-    """A text that is not empty."""
-    if not isinstance(raw, str) or not raw:
-        raise ConfigError(f"{name}: missing or not a text")
-    return raw
-
-
-def choice(*known: str) -> Check:
-    """One of a few words."""
-
-    def check(raw: Any, name: str) -> str:
-        if raw not in known:
-            raise ConfigError(f"{name}: not one of {', '.join(known)}")
-        return str(raw)
-
-    return check
-
-
 LAZY = ("cluster", "agree")  # blocks whose fields are loaded only where they are there
 
 BLOCKS: dict[str, dict[str, Check | Many]] = {
