Configuration: ConfigError, Address and the text check stand once, in checks.py

Change: ConfigError, Address, address() and text() moved to config/checks.py, below both files; the second text() is gone. chutepin.config exports the same names; no message changed.

--- a/chutepin/config/__init__.py
+++ b/chutepin/config/__init__.py
@@ -3,12 +3,11 @@
 `load` reads the platform's JSON, `load_amqp` the queues of the AMQP front, `load_setup` the operator's own file with
 one block for each subsystem. Each raises `ConfigError`, whose message is one line that names the field."""
 
+from .checks import Address, ConfigError
 from .operator import AdmissionSetup, LogSetup, Setup, StoreSetup, load_setup, parse_setup
 from .platform import (
-    Address,
     AmqpConfig,
     Config,
-    ConfigError,
     QueueConfig,
     load,
     load_amqp,
--- a/chutepin/config/agree.py
+++ b/chutepin/config/agree.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .checks import TIME, Check, Many, quantity, size, text
+from .checks import TIME, Check, ConfigError, Many, quantity, size, text
 from .cluster import MAX_NAME
-from .platform import ConfigError
 
 
 @dataclass(frozen=True, slots=True)
--- a/chutepin/config/checks.py
+++ b/chutepin/config/checks.py
@@ -1,4 +1,4 @@
-"""Checks of single values in the operator's file, shared by all blocks.
+"""Checks of single values, shared by the platform's file and all blocks of the operator's.
 
 A check takes a value of the document and the name of its field, and returns the value that it means in the base unit.
 It raises `ConfigError` with one line that names the field."""
@@ -10,13 +10,24 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .platform import ConfigError
-
 TIME = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}  # in seconds
 SIZE = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # in bytes
 RATE = {"per-s": 1.0, "per-min": 1 / 60}  # events a second
 SHARE = {"%": 0.01}
 
+
+class ConfigError(ValueError):
+    """The configuration is wrong; the message is one line that names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """A host and port to listen on or connect to."""
+
+    host: str
+    port: int
+
+
 Check = Callable[[Any, str], Any]  # (a value of the document, its field) to the value it means
 
 
@@ -76,6 +87,14 @@
         raise ConfigError(f"{name}: {error}") from None
 
 
+def address(raw: Any, field: str) -> Address:
+    """Check an address of the form host:port, both present."""
+    host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{field}: not an address of the form host:port")
+    return Address(host, int(port))
+
+
 def text(raw: Any, name: str) -> str:
     """Check that a value is a text and not empty."""
     if not isinstance(raw, str) or not raw:
--- a/chutepin/config/cluster.py
+++ b/chutepin/config/cluster.py
@@ -7,8 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .checks import TIME, Check, Many, count, quantity, text
-from .platform import Address, ConfigError, address
+from .checks import TIME, Address, Check, ConfigError, Many, address, count, quantity, text
 
 MAX_NAME = 64
 
--- a/chutepin/config/operator.py
+++ b/chutepin/config/operator.py
@@ -13,8 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..ops import LogFormat
-from .checks import RATE, SHARE, TIME, Check, Many, choice, count, network, quantity, size, text
-from .platform import ConfigError
+from .checks import RATE, SHARE, TIME, Check, ConfigError, Many, choice, count, network, quantity, size, text
 
 if TYPE_CHECKING:
     from .agree import AgreeSetup
--- a/chutepin/config/platform.py
+++ b/chutepin/config/platform.py
@@ -12,17 +12,7 @@
 
 from poststall import api, wire
 
-
-class ConfigError(ValueError):
-    """What is wrong; the message names the field."""
-
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Where to listen or connect."""
-
-    host: str
-    port: int
+from .checks import Address, ConfigError, address, text
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,14 +32,6 @@
     ops: Address | None = None  # where operators call
 
 
-def address(raw: Any, field: str) -> Address:
-    """`host:port`, both present."""
-    host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ConfigError(f"{field}: not an address of the form host:port")
-    return Address(host, int(port))
-
-
 def positive(raw: Any, field: str) -> float:
     """A finite number above 0."""
     if isinstance(raw, bool) or not isinstance(raw, (int, float)) or not 0 < raw < float("inf"):
@@ -57,13 +39,6 @@
     return float(raw)
 
 
-def text(raw: Any, field: str) -> str:
-    """A text that is not empty."""
-    if not isinstance(raw, str) or not raw:
-        raise ConfigError(f"{field}: missing or not a text")
-    return raw
-
-
 def _seed(raw: Any) -> int:
     try:
         return int(text(raw, "seed"), 16)
