Tests: no modules of chutepin import each other in a circle

Change: tests/imports.py reads the import graph from the sources: statements at module level, in functions and under TYPE_CHECKING, each with its kind, and imports by name; a computed name counts as any sibling, and is an error where it may lie anywhere. test_repo.py asserts that no circle is left at each of the three strictnesses, with no list of exceptions, and tests the reader itself on a small package that holds each way to import.

--- a/tests/test_repo.py
+++ b/tests/test_repo.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from .imports import Import, Kind, cycles, import_graph
 from .known_red import FILE, Known, listed, problems
 
 ROOT = Path(__file__).parent.parent
@@ -34,6 +35,63 @@
     assert imports <= allowed | {".", ".api"}
 
 
+@pytest.mark.parametrize(
+    "kinds",
+    [(Kind.EAGER,), (Kind.EAGER, Kind.LAZY), (Kind.EAGER, Kind.LAZY, Kind.TYPING)],
+    ids=["module level", "with function level", "with TYPE_CHECKING"],
+)
+def test_no_modules_import_each_other_in_a_circle(kinds: tuple[Kind, ...]) -> None:
+    assert cycles(import_graph(ROOT / "chutepin"), *kinds) == []
+
+
+def test_each_way_to_import_is_found_with_the_moment_it_runs(tmp_path: Path) -> None:
+    package = tmp_path / "top"
+    (package / "sub").mkdir(parents=True)
+    sources = {
+        "__init__": "",
+        "one": (
+            "from typing import TYPE_CHECKING\nimport os\n"
+            "if TYPE_CHECKING:\n    from . import two\nelse:\n    import top.three"
+        ),
+        "two": "class Two:\n    from .sub.low import name\n    def work(self) -> None:\n        from .one import name",
+        "three": (
+            "import importlib\ndef work() -> None:\n"
+            "    importlib.import_module('top.two')\n    importlib.import_module('os')"
+        ),
+        "sub/__init__": "import importlib\ndef work(x: str) -> None:\n    importlib.import_module(f'.{x}', __name__)",
+        "sub/low": "from .. import one as other\nfrom . import high",
+        "sub/high": "from ..three import name",
+    }
+    for name, source in sources.items():
+        (package / f"{name}.py").write_text(source)
+    found = import_graph(package)
+    assert found == {
+        Import("top.one", "top.two", Kind.TYPING),
+        Import("top.one", "top.three", Kind.EAGER),
+        Import("top.two", "top.sub", Kind.EAGER),
+        Import("top.two", "top.sub.low", Kind.EAGER),
+        Import("top.two", "top.one", Kind.LAZY),
+        Import("top.three", "top.two", Kind.LAZY),
+        Import("top.sub", "top.sub.low", Kind.LAZY),
+        Import("top.sub", "top.sub.high", Kind.LAZY),
+        Import("top.sub.low", "top.one", Kind.EAGER),
+        Import("top.sub.low", "top.sub.high", Kind.EAGER),
+        Import("top.sub.high", "top.three", Kind.EAGER),
+    }
+    assert cycles(found, Kind.EAGER) == []
+    assert cycles(found, Kind.EAGER, Kind.LAZY) == [
+        ["top.one", "top.sub", "top.sub.high", "top.sub.low", "top.three", "top.two"]
+    ]
+    (package / "sub" / "high.py").write_text("from .low import name")
+    assert cycles(import_graph(package), Kind.EAGER) == [["top.sub.high", "top.sub.low"]]
+
+
+def test_an_import_by_a_computed_name_is_an_error(tmp_path: Path) -> None:
+    (tmp_path / "__init__.py").write_text("import importlib\nimportlib.import_module(name)")
+    with pytest.raises(ValueError, match="computed name"):
+        import_graph(tmp_path)
+
+
 def test_the_list_of_known_red_tests_is_sound() -> None:
     assert problems(listed()) == []
 
