Docstrings of configuration, subsystem protocol and node say what each thing does

Change: docstrings alone, in the field's terms (predecessor and successor process, replicated log, counters); Order has a comment that says what it is. No code line changed.

--- a/chutepin/config/__init__.py
+++ b/chutepin/config/__init__.py
@@ -1,4 +1,4 @@
-"""What an operator writes, checked before anything starts.
+"""Parses and checks the configuration files before anything starts.
 
 `load` reads the platform's JSON, `load_amqp` the queues of the AMQP front, `load_setup` the operator's own file with
 one block for each subsystem. Each raises `ConfigError`, whose message is one line that names the field."""
--- a/chutepin/config/agree.py
+++ b/chutepin/config/agree.py
@@ -1,4 +1,4 @@
-"""The block `agree` of the operator's file. Loaded only where the block is there."""
+"""Checks the block `agree` of the operator's file. Imported only where the block is there."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AgreeSetup:
-    """Who votes when the log begins, and the times of elections, in seconds."""
+    """The first voters of the replicated log, and the times of elections, in seconds."""
 
     voters: tuple[str, ...]
     election: float = 1.0  # without a leader before a vote is asked for; up to twice that, drawn
@@ -36,7 +36,7 @@
 
 
 def checked(values: dict[str, Any]) -> AgreeSetup:
-    """The block's values, whole. Raises ConfigError."""
+    """Check the block's values against each other and build its setup. Raises ConfigError."""
     if "voters" not in values:
         raise ConfigError("agree.voters: missing")
     setup = AgreeSetup(**values)
--- a/chutepin/config/cluster.py
+++ b/chutepin/config/cluster.py
@@ -1,4 +1,4 @@
-"""The block `cluster` of the operator's file. Loaded only where the block is there."""
+"""Checks the block `cluster` of the operator's file. Imported only where the block is there."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClusterSetup:
-    """Who this node is among others, and the times of failure detection, in seconds."""
+    """This node's name and place in the cluster, and the times of failure detection, in seconds."""
 
     name: str
     region: str
@@ -45,7 +45,7 @@
 
 
 def _listen(raw: Any, name: str) -> Address:
-    """An address in numbers: nothing here may wait for a name to be looked up."""
+    """Check an IP address and port: no name, as nothing here may wait for a lookup."""
     found = address(raw, name)
     try:
         if ipaddress.ip_address(found.host.strip("[]")).is_unspecified:
@@ -58,7 +58,7 @@
 
 
 def _peer(raw: Any, name: str) -> tuple[str, str]:
-    """`member=host:port`."""
+    """Check a text of the form member=host:port."""
     member, equals, where = text(raw, name).partition("=")
     if not equals:
         raise ConfigError(f"{name}: {raw} is not of the form member=host:port")
@@ -90,7 +90,7 @@
 
 
 def checked(values: dict[str, Any]) -> ClusterSetup:
-    """The block's values, whole. Raises ConfigError."""
+    """Check the block's values against each other and build its setup. Raises ConfigError."""
     for name in ("name", "region", "zone", "listen"):
         if name not in values:
             raise ConfigError(f"cluster.{name}: missing")
--- a/chutepin/config/operator.py
+++ b/chutepin/config/operator.py
@@ -1,4 +1,4 @@
-"""The operator's file (`--setup FILE`): KDL, one block for each subsystem, every quantity with its unit.
+"""Parses the operator's file (`--setup FILE`): KDL, one block for each subsystem, every quantity with its unit.
 
 A unit is a type annotation, `segment (MiB)8`: a number typed in milliseconds where seconds were meant is found by
 reading, not by an outage. An unknown name, a missing unit or a value out of range is one line with file and field.
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Setup:
-    """The whole file; a block that is not there leaves its subsystem as it is by default."""
+    """The whole file. A block that is not there leaves its subsystem at its defaults, or off."""
 
     log: LogSetup = field(default_factory=LogSetup)
     store: StoreSetup | None = None
@@ -74,7 +74,7 @@
     agree: AgreeSetup | None = None
 
 
-LAZY = ("cluster", "agree")  # blocks whose fields are loaded only where they are there
+LAZY = ("cluster", "agree")  # blocks whose modules are imported only where the file has them
 
 BLOCKS: dict[str, dict[str, Check | Many]] = {
     "log": {"format": choice(*(format.value for format in LogFormat))},
@@ -130,7 +130,7 @@
 
 
 def parse_setup(source: str) -> Setup:
-    """Check an operator's file. Raises `ConfigError` with one line that names the field."""
+    """Parse and check an operator's file. Raises `ConfigError` with one line that names the field."""
     import ckdl  # only where a file is given
 
     try:
--- a/chutepin/config/platform.py
+++ b/chutepin/config/platform.py
@@ -1,4 +1,4 @@
-"""The platform's JSON file and the operator's for AMQP, checked field by field."""
+"""Parses the platform's JSON file and the operator's for AMQP, and checks them field by field."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """All that a node is told at its start."""
+    """The platform's configuration of a node."""
 
     name: str
     listen: Address
@@ -33,7 +33,7 @@
 
 
 def positive(raw: Any, field: str) -> float:
-    """A finite number above 0."""
+    """Check that a value is a finite number above 0."""
     if isinstance(raw, bool) or not isinstance(raw, (int, float)) or not 0 < raw < float("inf"):
         raise ConfigError(f"{field}: not a number above 0")
     return float(raw)
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueConfig:
-    """One queue, whose it is and which class its messages have."""
+    """One AMQP queue, its team and the class of its messages."""
 
     name: str
     team: str
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -42,7 +42,7 @@
 
 
 class LoopAlarm:
-    """The core's one timer on the event loop."""
+    """Runs the core's one timer on the event loop."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -51,7 +51,7 @@
         self.broker: Broker | None = None
 
     def set(self, at: float) -> None:
-        """Tick then."""
+        """Have the core tick at this time."""
         if self._handle is not None:
             if self._at == at and not self._handle.cancelled():
                 return
@@ -71,7 +71,7 @@
 
 
 def descriptors() -> int | None:
-    """How many the process holds; None where the system doesn't tell."""
+    """Count the descriptors that the process has open; None where the system doesn't tell."""
     try:
         return len(os.listdir("/proc/self/fd")) - 1  # the listing itself holds one
     except OSError:
@@ -81,7 +81,7 @@
 def shares(
     limit: int, amqp: bool, store: bool, ops: bool = False, cluster: bool = False, agree: bool = False
 ) -> Ledger:
-    """The descriptors shared out: half for the front at most, two fifths for records, as after a
+    """Build the ledger of descriptors: half for the front at most, two fifths for records, as after a
     reload old and new connections stand side by side; what must reconnect has its own."""
     return Ledger(
         limit,
@@ -101,13 +101,13 @@
 
 
 def rules_of(setup: AdmissionSetup) -> Rules:
-    """The rules that an operator's block means."""
+    """Build the admission rules from the operator's block."""
     values = {field.name: getattr(setup, field.name) for field in dataclasses.fields(setup)}
     return Rules(**values | {"known": Networks(setup.known), "relays": Networks(setup.relays)})
 
 
 def _open_store(setup: StoreSetup, clock: Clock, log: Log) -> Store:
-    """A store that can't be opened is a fault of the configuration: the node must not start without it."""
+    """Open the store. Raises ConfigError where it can't be: the node must not start without it."""
     from .store import Store, StoreError
 
     try:
--- a/chutepin/subsystem.py
+++ b/chutepin/subsystem.py
@@ -8,38 +8,39 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
+# An operators' call with arguments: the words behind its name, to its whole answer.
 Order = Callable[[list[str]], Awaitable[str]]
 
 
 class Subsystem(Protocol):
-    """What a node asks of each."""
+    """What a node calls on each subsystem."""
 
     def adopt(self, sockets: list[socket.socket]) -> list[socket.socket]:
-        """Take from a predecessor's sockets those that are this one's; the rest."""
+        """Take over this subsystem's sockets among those of a predecessor process; return the others."""
 
     def sockets(self) -> list[socket.socket]:
-        """What a successor is to be given."""
+        """Return the listening sockets to pass to a successor process."""
 
     def start(self) -> None:
-        """The process serves from now on. Raises ConfigError."""
+        """Begin: the process serves from now on. Raises ConfigError."""
 
     async def run(self) -> None:
         """Work until cancelled."""
 
     def calls(self) -> dict[str, Callable[[], str]]:
-        """What operators may call, each with its whole answer."""
+        """Return the operators' calls without arguments, by name; each returns its whole answer."""
 
     def orders(self) -> dict[str, Order]:
-        """What operators may call with words behind it, and what may take a moment."""
+        """Return the operators' calls with arguments, by name; each may take a moment."""
 
     def figures(self) -> dict[str, int]:
-        """Counts for operators, their names with the subsystem's."""
+        """Return counters for operators, their names prefixed with the subsystem's."""
 
     def yields(self) -> None:
-        """A successor of this process serves."""
+        """Stop speaking for the node: a successor process serves."""
 
     def takes_back(self) -> None:
-        """It has gone."""
+        """Speak for the node again: the successor process has ended."""
 
     def leave(self) -> None:
-        """The process is told to end and will soon."""
+        """Say goodbye to other nodes: the process was told to end."""
