Consensus: who is to learn, vote or go is decided in agree/member.py, without I/O

Change: Member.add_node, remove_node and transfer decide, with typed results (AddedNode, HandsOver) or RefusedError; the subsystem only renders the answer, whose text is as it was.

--- a/chutepin/agree/member.py
+++ b/chutepin/agree/member.py
@@ -84,6 +84,19 @@
     fields: dict[str, object]
 
 
+class AddedNode(NamedTuple):
+    """A node takes part under `identity`: as a voter, or as a learner until it has caught up."""
+
+    identity: str
+    votes: bool
+
+
+class HandsOver(NamedTuple):
+    """The leader hands over to the voter `to`."""
+
+    to: str
+
+
 Effect = Persist | Apply | Restore | Readable | Send | Answer | Tell
 
 
@@ -503,6 +516,48 @@
         self.core.hand_over(now, to)
         self._from_core()
 
+    def transfer(self, now: float, name: str) -> str:
+        """Have the voter of this node name or identity lead; its identity. Raises RefusedError."""
+        voters = self.core.members.voters
+        identity = next((voter for voter in voters if name in (voter, plain(voter))), name)
+        self.hand_over(now, identity)
+        return identity
+
+    def add_node(self, now: float, name: str) -> AddedNode:
+        """Make a node a learner, or a voter where it is a learner already. Raises RefusedError."""
+        members = self.core.members
+        if name in self.known:
+            identity, _ = self.known[name]
+        elif name == plain(self.name):
+            identity = self.name
+        else:
+            raise RefusedError(f"{name} is not known here: only a leader has met all nodes that live")
+        votes = identity in members.everybody
+        if votes:
+            learners = tuple(other for other in members.learners if other != identity)
+            self.change(now, Voters((*members.voters, identity), learners))
+        else:
+            self.change(now, Voters(members.voters, (*members.learners, identity)))
+        return AddedNode(identity, votes)
+
+    def remove_node(self, now: float, name: str) -> HandsOver | None:
+        """Let the voter or learner of this node name or identity take no part any more. Raises RefusedError.
+
+        A leader does not remove itself: it hands over first, and the new leader is to be asked."""
+        if name in (self.name, plain(self.name)) and self.core.role is Role.LEADER:
+            to = next(iter(self.core.furthest()), "")
+            self.hand_over(now, to)
+            return HandsOver(to)
+        members = self.core.members
+        rest = Voters(
+            tuple(other for other in members.voters if name not in (other, plain(other))),
+            tuple(other for other in members.learners if name not in (other, plain(other))),
+        )
+        if rest == members:
+            raise RefusedError(f"{name} takes no part")
+        self.change(now, rest)
+        return None
+
     def change(self, now: float, members: Voters) -> None:
         """Change who takes part. Raises RefusedError."""
         self.core.change(now, members)
--- a/chutepin/agree/subsystem.py
+++ b/chutepin/agree/subsystem.py
@@ -20,7 +20,7 @@
 from .facts import Facts, set_fact
 from .identity import Identity, Meet, Met, Standing, plain
 from .journal import Journal, JournalError, Operation
-from .member import Answer, Effect, Member, Send, Tell
+from .member import AddedNode, Answer, Effect, HandsOver, Member, Send, Tell
 from .messages import Apply, Persist, Readable, Restore, Voters
 from .replica import Outcome, State
 from .wire import Links, Wire, now
@@ -122,10 +122,16 @@
 
     def leave(self) -> None:
         """Have somebody else lead before this process ends."""
-        if (member := self._member) is not None and member.core.role is Role.LEADER:
-            for to in member.core.furthest():
-                self._do(lambda to=to: member.hand_over(now(), to))  # type: ignore[misc]
-                return
+        member = self._member
+        if member is None or member.core.role is not Role.LEADER:
+            return
+        if not (others := member.core.furthest()):
+            return
+        try:
+            member.hand_over(now(), others[0])
+        except RefusedError:  # it hands over already
+            return
+        self._pump()
 
     def figures(self) -> dict[str, int]:
         """Counts of the member."""
@@ -309,14 +315,16 @@
 
     # --- operators ---
 
-    def _do(self, work: Callable[[], None]) -> str | None:
-        """Why it was refused, if it was."""
+    def _changed(self, change: Callable[[Member], str]) -> str:
+        """Have the member change who takes part or leads; the answer, also where it refuses."""
+        if (member := self._member) is None:
+            return f"FAILURE takes no part: {self._why}\n"
         try:
-            work()
+            answer = change(member)
         except RefusedError as error:
-            return f"{error}{f'; the leader is {plain(error.leader)}' if error.leader else ''}"
+            return f"FAILURE {error}{f'; the leader is {plain(error.leader)}' if error.leader else ''}\n"
         self._pump()
-        return None
+        return f"{answer}\n"
 
     async def _ticket(self, begin: Callable[[Member], int]) -> Outcome:
         """The outcome of what is asked of the member."""
@@ -407,44 +415,25 @@
         return f"SUCCESS upto {self._member.replica.applied} {shown}\n"
 
     async def _add(self, words: list[str]) -> str:
-        """Let a node vote that has caught up as a learner; begin with making it one."""
-        member = self._member
-        if member is None:
-            return f"FAILURE takes no part: {self._why}\n"
-        name, members = words[0], member.core.members
-        if name not in member.known and name != plain(member.name):
-            return f"FAILURE {name} is not known here: only a leader has met all nodes that live\n"
-        identity = member.known[name][0] if name in member.known else member.name
-        if identity not in members.everybody:
-            new = Voters(members.voters, (*members.learners, identity))
-        else:
-            new = Voters((*members.voters, identity), tuple(other for other in members.learners if other != identity))
-        why = self._do(lambda: member.change(now(), new))
-        what = "votes" if identity in new.voters else "learns; call again to let it vote"
-        return f"FAILURE {why}\n" if why else f"SUCCESS {identity} {what}\n"
+        """Let a node learn; let it vote if it is a learner already."""
+        return self._changed(lambda member: self._added(member.add_node(now(), words[0])))
+
+    def _added(self, added: AddedNode) -> str:
+        what = "votes" if added.votes else "learns; call again to let it vote"
+        return f"SUCCESS {added.identity} {what}"
 
     async def _remove(self, words: list[str]) -> str:
-        member = self._member
-        if member is None:
-            return f"FAILURE takes no part: {self._why}\n"
-        members = member.core.members
-        if words[0] in (member.name, plain(member.name)) and member.core.role is Role.LEADER:
-            to = next(iter(member.core.furthest()), "")
-            why = self._do(lambda: member.hand_over(now(), to))
-            return f"FAILURE {why or f'it leads and hands over to {plain(to)}; call again there'}\n"
-        new = Voters(*(tuple(other for other in names if words[0] not in (other, plain(other))) for names in members))
-        if new == members:
-            return f"FAILURE {words[0]} takes no part\n"
-        why = self._do(lambda: member.change(now(), new))
-        return f"FAILURE {why}\n" if why else f"SUCCESS {words[0]} goes\n"
+        """Let a node take no part any more; a leader hands over first."""
+        return self._changed(lambda member: self._removed(words[0], member.remove_node(now(), words[0])))
+
+    def _removed(self, name: str, instead: HandsOver | None) -> str:
+        if instead is not None:
+            return f"FAILURE it leads and hands over to {plain(instead.to)}; call again there"
+        return f"SUCCESS {name} goes"
 
     async def _transfer(self, words: list[str]) -> str:
-        member = self._member
-        if member is None:
-            return f"FAILURE takes no part: {self._why}\n"
-        to = next((name for name in member.core.members.voters if words[0] in (name, plain(name))), words[0])
-        why = self._do(lambda: member.hand_over(now(), to))
-        return f"FAILURE {why}\n" if why else f"SUCCESS {to} is told to lead\n"
+        """Have another voter lead."""
+        return self._changed(lambda member: f"SUCCESS {member.transfer(now(), words[0])} is told to lead")
 
     async def _snapshot(self, words: list[str]) -> str:
         member = self._member
--- /dev/null
+++ b/tests/test_agree_voters.py
@@ -0,0 +1,138 @@
+"""Who learns, votes, leads and goes at an operator's call, decided by `Member` without any I/O."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from chutepin.agree import Apply, Durable, Readable, RefusedError, Restore, Role, Times, Voters
+from chutepin.agree.facts import Facts
+from chutepin.agree.identity import plain
+from chutepin.agree.member import AddedNode, HandsOver, Member, Send
+
+TURN = 0.05  # seconds of virtual time between two ticks
+FIRST = ("n1", "n2", "n3")
+LATER = "n4~5eed"  # the identity of a node that the operator's file does not name
+
+
+class Group:
+    """Members on links without delay and disks that are durable at once."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.unreachable: set[str] = set()  # nodes to which nothing comes
+        self.members = {
+            plain(name): Member(name, Voters(FIRST), Durable(), Facts(), 0.0, random.Random(name), Times())
+            for name in (*FIRST, LATER)
+        }
+        for member in self.members.values():
+            member.alive = tuple(self.members)
+        self.run(5.0)
+
+    def run(self, seconds: float) -> None:
+        """Let this time pass."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += TURN
+            for member in self.members.values():
+                member.tick(self.now)
+            while any([self._carry_out(member) for member in self.members.values()]):
+                pass
+
+    def _carry_out(self, member: Member) -> bool:
+        effects = member.take()
+        for effect in effects:
+            match effect:
+                case Send() if plain(effect.to) not in self.unreachable:
+                    to = self.members[plain(effect.to)]
+                    to.met(member.name, Facts.version)
+                    to.receive(self.now, member.name, effect.word)
+                case Apply() | Restore() | Readable():
+                    member.done(self.now, effect)
+        return bool(effects)
+
+    @property
+    def leader(self) -> Member:
+        """The one that leads."""
+        (leader,) = (member for member in self.members.values() if member.core.role is Role.LEADER)
+        return leader
+
+
+def test_a_node_learns_at_the_first_call_and_votes_at_the_second() -> None:
+    group = Group()
+    assert group.leader.add_node(group.now, "n4") == AddedNode(LATER, votes=False)
+    group.run(2.0)
+    assert {member.members for member in group.members.values()} == {Voters(FIRST, (LATER,))}
+    assert group.leader.add_node(group.now, "n4") == AddedNode(LATER, votes=True)
+    group.run(2.0)
+    assert {member.members for member in group.members.values()} == {Voters((*FIRST, LATER))}
+
+
+def test_a_learner_that_has_not_caught_up_does_not_vote() -> None:
+    group = Group()
+    group.unreachable.add("n4")
+    group.leader.add_node(group.now, "n4")
+    group.run(0.5)
+    with pytest.raises(RefusedError, match=rf"^{LATER} has not caught up as a learner$"):
+        group.leader.add_node(group.now, "n4")
+    assert group.leader.members == Voters(FIRST, (LATER,))
+
+
+def test_a_node_that_nobody_met_is_not_added() -> None:
+    group = Group()
+    with pytest.raises(RefusedError, match=r"^n9 is not known here: only a leader has met all nodes that live$"):
+        group.leader.add_node(group.now, "n9")
+
+
+@pytest.mark.parametrize("name", ["n4", LATER])
+def test_a_learner_goes_by_its_node_name_or_its_identity(name: str) -> None:
+    group = Group()
+    group.leader.add_node(group.now, "n4")
+    group.run(2.0)
+    assert group.leader.remove_node(group.now, name) is None
+    group.run(2.0)
+    assert group.leader.members == Voters(FIRST)
+    with pytest.raises(RefusedError, match=f"^{name} takes no part$"):
+        group.leader.remove_node(group.now, name)
+
+
+def test_a_voter_goes_and_the_others_agree_without_it() -> None:
+    group = Group()
+    gone = next(name for name in FIRST if name != group.leader.name)
+    assert group.leader.remove_node(group.now, gone) is None
+    group.run(2.0)
+    assert group.leader.members == Voters(tuple(name for name in FIRST if name != gone))
+
+
+def test_a_leader_hands_over_before_it_goes() -> None:
+    group = Group()
+    old = group.leader
+    answer = old.remove_node(group.now, old.name)
+    assert isinstance(answer, HandsOver) and answer.to in FIRST and answer.to != old.name
+    group.run(2.0)
+    assert group.leader.name == answer.to and group.leader.members == Voters(FIRST)
+    assert group.leader.remove_node(group.now, old.name) is None
+    group.run(2.0)
+    assert old.name not in group.leader.members.everybody
+
+
+def test_a_voter_leads_by_its_node_name_and_a_stranger_or_learner_does_not() -> None:
+    group = Group()
+    for _ in range(2):
+        group.leader.add_node(group.now, "n4")
+        group.run(2.0)
+    assert group.leader.transfer(group.now, "n4") == LATER
+    group.run(2.0)
+    assert group.leader.name == LATER
+    with pytest.raises(RefusedError, match=r"^n9 is no other voter$"):
+        group.leader.transfer(group.now, "n9")
+
+
+def test_who_does_not_lead_refuses_and_names_the_leader() -> None:
+    group = Group()
+    other = next(group.members[name] for name in FIRST if name != group.leader.name)
+    for change in (other.add_node, other.remove_node, other.transfer):
+        with pytest.raises(RefusedError, match=r"^not the leader$") as refused:
+            change(group.now, other.name)
+        assert refused.value.leader == group.leader.name
