Benchmarks: command line, quantile and the schedule of faults stand once

Cause: benchmarks/agree.py and membership.py each held the same main(), quantile() and Row, and membership.py wrote the schedule of its real and simulated fleets twice. Change: benchmarks/parts.py has run_parts() and quantile(); same_faults() draws the one schedule. Parts, options, rows and charts are as they were. The other parts were not run.

--- a/benchmarks/agree.py
+++ b/benchmarks/agree.py
@@ -6,10 +6,7 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import json
-import math
 import os
 import random
 import signal
@@ -30,7 +27,8 @@
 from chutepin.lab.faults import Fault, Schedule, draw
 from chutepin.lab.quorum import TIMES, Simulator
 
-Row = dict[str, Any]
+from .parts import Part, Row, quantile, run_parts
+
 SEEDS = 2000
 KILLS = 20
 FLEETS, LASTS = 4, 480.0  # of the campaign: side by side, seconds each
@@ -42,12 +40,6 @@
         return list(pool.map(work, jobs, chunksize=4))
 
 
-def quantile(values: list[float], part: float) -> float:
-    """The value below which this part lies."""
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, math.ceil(part * len(ordered)) - 1)] if ordered else math.nan
-
-
 def figures(values: list[float]) -> Row:
     """In milliseconds."""
     return {
@@ -369,7 +361,7 @@
         return list(pool.map(_campaign, range(1, FLEETS + 1)))
 
 
-PARTS: dict[str, Callable[[], list[Row]]] = {
+PARTS: dict[str, Part] = {
     "seeds": seeds,
     "planted": planted,
     "flapping": flapping,
@@ -383,7 +375,7 @@
 }
 
 
-def drawn(directory: Path, part: str, rows: list[Row]) -> None:
+def draw_charts(directory: Path, part: str, rows: list[Row]) -> None:
     """The chart of a part, where it has one."""
     directory.mkdir(parents=True, exist_ok=True)
     if part == "observers":
@@ -407,21 +399,5 @@
         )
 
 
-def main() -> None:
-    """Run parts, print their rows as JSON, draw their charts."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("parts", nargs="*", metavar="PART", help=", ".join(PARTS))
-    parser.add_argument("--charts", type=Path)
-    asked = parser.parse_args()
-    for part in asked.parts or [part for part in PARTS if part != "campaign"]:
-        begun = time.monotonic()
-        rows = PARTS[part]()
-        for row in rows:
-            print(json.dumps({"part": part, **row}), flush=True)
-        print(json.dumps({"part": part, "took_s": round(time.monotonic() - begun)}), flush=True)
-        if asked.charts is not None:
-            drawn(asked.charts, part, rows)
-
-
 if __name__ == "__main__":
-    main()
+    run_parts(PARTS, long="campaign", draw_charts=draw_charts)
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import json
 import math
@@ -27,9 +26,10 @@
 from chutepin.lab.invariants import broken
 from chutepin.lab.simulator import Make, Simulator
 
+from .parts import Part, Row, quantile, run_parts
+
 SEEDS = 20
 MAKES: dict[str, Make] = {"detector": Detector, "heartbeats": Heartbeats}
-Row = dict[str, Any]
 
 
 def over_cores(work: Callable[..., Row], jobs: Iterable[tuple[Any, ...]]) -> list[Row]:
@@ -38,12 +38,6 @@
         return list(pool.map(work, *zip(*jobs, strict=True)))
 
 
-def quantile(values: list[float], part: float) -> float:
-    """The value below which this part lies."""
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, math.ceil(part * len(ordered)) - 1)] if ordered else math.nan
-
-
 # --- loss ---
 
 
@@ -254,7 +248,8 @@
 # --- real processes ---
 
 
-async def _real(members: int, seed: int) -> Row:
+def same_faults(members: int) -> Schedule:
+    """The schedule of both wires: a crash, a process that is stopped for long, a partition in halves."""
     names = [f"n{number}" for number in range(1, members + 1)]
     faults = (
         Fault(2.0, "crash", (names[3],)),
@@ -264,7 +259,12 @@
         split(42.0, (names[: members // 2], names[members // 2 :])),
         Fault(72.0, "heal"),
     )
-    schedule = Schedule(members, 95.0, faults)
+    return Schedule(members, 95.0, faults)
+
+
+async def _real(members: int, seed: int) -> Row:
+    schedule = same_faults(members)
+    names = schedule.names()
     async with AsyncExitStack() as stack:
         fleet = Fleet(schedule, seed, look=0.5, environ={"PYTHONOPTIMIZE": "1"})
         await fleet.open(stack)
@@ -323,24 +323,12 @@
             rows.append(asyncio.run(_real(members, seed)))
             print(json.dumps(rows[-1]), flush=True)
     for members in (12, 24):
-        names = [f"n{number}" for number in range(1, members + 1)]
-        schedule = Schedule(
-            members,
-            95.0,
-            (
-                Fault(2.0, "crash", (names[3],)),
-                Fault(14.0, "restart", (names[3],)),
-                Fault(22.0, "stop", (names[5],)),
-                Fault(32.0, "wake", (names[5],)),
-                split(42.0, (names[: members // 2], names[members // 2 :])),
-                Fault(72.0, "heal"),
-            ),
-        )
+        schedule = same_faults(members)
         rows += [_simulated(schedule, seed) for seed in range(seeds)]
     return rows
 
 
-PARTS: dict[str, Callable[[], list[Row]]] = {
+PARTS: dict[str, Part] = {
     "loss": loss,
     "crash": crash,
     "woken": woken,
@@ -351,7 +339,7 @@
 }
 
 
-def draw(directory: Path, part: str, rows: list[Row]) -> None:
+def draw_charts(directory: Path, part: str, rows: list[Row]) -> None:
     """The chart of a part, where it has one."""
     directory.mkdir(parents=True, exist_ok=True)
     makes = sorted({row["make"] for row in rows if "make" in row})
@@ -381,21 +369,5 @@
         )
 
 
-def main() -> None:
-    """Run parts, print their rows as JSON, draw their charts."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("parts", nargs="*", metavar="PART", help=", ".join(PARTS))
-    parser.add_argument("--charts", type=Path)
-    asked = parser.parse_args()
-    for part in asked.parts or [part for part in PARTS if part != "hours"]:
-        begun = time.monotonic()
-        rows = PARTS[part]()
-        for row in rows:
-            print(json.dumps({"part": part, **row}), flush=True)
-        print(json.dumps({"part": part, "took_s": round(time.monotonic() - begun)}), flush=True)
-        if asked.charts is not None:
-            draw(asked.charts, part, rows)
-
-
 if __name__ == "__main__":
-    main()
+    run_parts(PARTS, long="hours", draw_charts=draw_charts)
--- /dev/null
+++ b/benchmarks/parts.py
@@ -0,0 +1,39 @@
+"""What benchmarks of several parts share: the command line, and figures of a sample."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import math
+import time
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+Row = dict[str, Any]
+Part = Callable[[], list[Row]]
+DrawCharts = Callable[[Path, str, list[Row]], None]  # (directory, name of the part, its rows)
+
+
+def quantile(values: Sequence[float], part: float) -> float:
+    """Return the value below which this part of the values lies; nan of none."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, math.ceil(part * len(ordered)) - 1)] if ordered else math.nan
+
+
+def run_parts(parts: Mapping[str, Part], long: str, draw_charts: DrawCharts) -> None:
+    """Run the parts that the command line names, print their rows as JSON, draw their charts.
+
+    Without a name all run but the one called `long`."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("parts", nargs="*", metavar="PART", help=", ".join(parts))
+    parser.add_argument("--charts", type=Path)
+    asked = parser.parse_args()
+    for part in asked.parts or [part for part in parts if part != long]:
+        begun = time.monotonic()
+        rows = parts[part]()
+        for row in rows:
+            print(json.dumps({"part": part, **row}), flush=True)
+        print(json.dumps({"part": part, "took_s": round(time.monotonic() - begun)}), flush=True)
+        if asked.charts is not None:
+            draw_charts(asked.charts, part, rows)
