--- a/tests/helper.py
+++ b/tests/helper.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -151,3 +153,20 @@
 
     def __init__(self) -> None:
         super().__init__(ENV)
+
+
+async def run_command(*arguments: str, stderr: int) -> tuple[int, str]:
+    """Run `chutepin` with these arguments as an operator does; its exit code and output.
+
+    `stderr` is `asyncio.subprocess.STDOUT` to have both streams in the output, or `DEVNULL`."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "chutepin",
+        *arguments,
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=stderr,
+    )
+    output, _ = await process.communicate()
+    return process.returncode or 0, output.decode()
--- a/tests/test_assembly.py
+++ b/tests/test_assembly.py
@@ -6,7 +6,6 @@
 import contextlib
 import json
 import signal
-import sys
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -24,7 +23,7 @@
 from chutepin.ops import Clock, Counters, Log
 from chutepin.store import Store, StoreFull
 
-from .helper import ROOT
+from .helper import run_command
 from .powercut import SimFiles
 
 FIVE = [f"n{number}" for number in range(1, 6)]
@@ -104,20 +103,7 @@
 
 async def command(ops: int, *words: str) -> tuple[int, str]:
     """`agree …` as an operator calls it: exit code and output."""
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "chutepin",
-        "agree",
-        *words,
-        "--ops",
-        f"127.0.0.1:{ops}",
-        cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.STDOUT,
-    )
-    output, _ = await process.communicate()
-    return process.returncode or 0, output.decode()
+    return await run_command("agree", *words, "--ops", f"127.0.0.1:{ops}", stderr=asyncio.subprocess.STDOUT)
 
 
 def test_operators_change_voters_hand_over_and_a_lost_store_comes_back_as_another_voter() -> None:
@@ -193,19 +179,8 @@
 
 
 async def offline(*words: str) -> tuple[int, str]:
-    """`agree …` on a store that no node has open."""
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "chutepin",
-        "agree",
-        *words,
-        cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.STDOUT,
-    )
-    output, _ = await process.communicate()
-    return process.returncode or 0, output.decode()
+    """`agree …` on a store that no node has open: exit code and output, the standard error included."""
+    return await run_command("agree", *words, stderr=asyncio.subprocess.STDOUT)
 
 
 async def one(fleet: Assembly, name: str, field: str, value: str) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import socket
-import sys
 import time
 from collections.abc import Callable
 from contextlib import AsyncExitStack
@@ -21,7 +20,7 @@
 from chutepin.lab.fleet import Fleet, play
 from chutepin.lab.invariants import broken
 
-from .helper import ROOT, Standins
+from .helper import Standins, run_command
 from .test_node import on_sockets
 from .test_operation import call
 
@@ -205,21 +204,8 @@
 
 
 async def command(ops: int, *words: str) -> tuple[int, str]:
-    """`cluster …` as an operator calls it: exit code and output."""
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "chutepin",
-        "cluster",
-        *words,
-        "--ops",
-        f"127.0.0.1:{ops}",
-        cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.DEVNULL,
-    )
-    output, _ = await process.communicate()
-    return process.returncode or 0, output.decode()
+    """`cluster …` as an operator calls it: exit code and output, without what it says on the standard error."""
+    return await run_command("cluster", *words, "--ops", f"127.0.0.1:{ops}", stderr=asyncio.subprocess.DEVNULL)
 
 
 def test_a_successor_takes_over_and_a_stranger_of_that_name_is_refused() -> None:
