Node: the constructor builds its optional parts in named steps; names say what they do

Change: one method for each optional part, built in the order as before and still imported only where it is built; _request_leave, _restart_on_error, _listening_sockets, _client_sockets, _log_error, _HandoverHost, MAX_TOP, MAX_DEADLINE, FINISH_MARGIN. One test calls a renamed method.

--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -37,8 +37,8 @@
 
 STOP_MARGIN = 0.15  # seconds before the process is stopped by which all is answered
 # After a hand-over the process is stopped once the longest deadline, of which this much counts, and a rest are over.
-LONGEST = 3.0  # seconds
-REST = 0.7  # seconds
+MAX_DEADLINE = 3.0  # seconds
+FINISH_MARGIN = 0.7  # seconds
 
 
 class LoopAlarm:
@@ -66,7 +66,7 @@
         self.broker.tick()
 
 
-TOP = 10  # addresses and blocks that SIGUSR1 names
+MAX_TOP = 10  # addresses and blocks that SIGUSR1 names
 RECONCILE = 8  # sweeps between looks at what descriptors the process holds
 
 
@@ -186,43 +186,59 @@
         if self.setup.store is not None:  # loaded only where an operator switches it on
             self.store = _open_store(self.setup.store, self.clock, self.log)
         self.subsystems = build_subsystems(config, self.setup, self.ledger, self.counters, self.log, self.store)
-        self.listener: Listener | None = None
-        if config.ops is not None:  # loaded only where operators call
-            from .admin import Calls, Listener
-
-            more = {name: call for part in self.subsystems for name, call in part.calls().items()}
-            orders = {name: order for part in self.subsystems for name, order in part.orders().items()}
-            calls = Calls(self.lifecycle, self.broker.figures, more, orders)
-            self.listener = Listener(calls, self.ledger, self.counters, self.log)
-        self.consumer: Consumer | None = None
-        if amqp is not None:
-            # Loaded only where an operator turns the front on: the platform's nodes need no codec for it.
-            from .net.amqp import Consumer
-
-            self.consumer = Consumer(amqp, self.broker, self.clock, self.counters, self.log, config.seed)
-        self.source: Source | None = None
-        self.recorder: Recorder | None = None
-        if read is not None or record is not None:  # loaded only where files are read or written
-            from .pcap import Recorder, Source
-
-            if record is not None:
-                recorder = Recorder(record, self.clock, self.counters, config.listen.port)
-                self.front.tap = self.recorder = recorder
-            if read is not None:
-                self.source = Source(read, config.listen.port, self.front, self.clock)
-        self.handover: Handover | None = None
-        if place := os.environ.get("TMPDIR"):
-            window = max((cls.window for cls in config.settings.classes), default=0.0)
-            path = meeting_place(place, config.name, f"{config.listen.host}:{config.listen.port}")
-            dialogue = Dialogue(_Side(self), Succession(window), self.clock, self.counters)
-            self.broker.twin, self.broker.keys.told = dialogue, dialogue.told
-            self.handover = Handover(path, dialogue, self._passed, self.clock, self.counters, self.log)
-            self.handover.serves = self._serve
+        self.listener = self._build_listener() if config.ops is not None else None
+        self.consumer = self._build_consumer(amqp) if amqp is not None else None
+        self.recorder = self._build_recorder(record) if record is not None else None
+        self.source = self._build_source(read) if read is not None else None
+        directory = os.environ.get("TMPDIR")
+        self.handover = self._build_handover(directory) if directory else None
         self._serving = False
         self.reporter = Reporter(config.control, config.name, self._ready, self.counters, config.seed)
-        self._told = asyncio.Event()
+        self._leave_requested = asyncio.Event()
         self._notice = 0.0  # when it was told to leave
 
+    # Each of these parts is optional; a module that only one of them needs is imported where that part is built.
+
+    def _build_listener(self) -> Listener:
+        """Build the socket of the operators' calls."""
+        from .admin import Calls, Listener
+
+        more = {name: call for part in self.subsystems for name, call in part.calls().items()}
+        orders = {name: order for part in self.subsystems for name, order in part.orders().items()}
+        calls = Calls(self.lifecycle, self.broker.figures, more, orders)
+        return Listener(calls, self.ledger, self.counters, self.log)
+
+    def _build_consumer(self, amqp: AmqpConfig) -> Consumer:
+        """Build the AMQP front."""
+        from .net.amqp import Consumer
+
+        return Consumer(amqp, self.broker, self.clock, self.counters, self.log, self.config.seed)
+
+    def _build_recorder(self, path: str) -> Recorder:
+        """Build the record of what passes the front, a pcap file."""
+        from .pcap import Recorder
+
+        recorder = Recorder(path, self.clock, self.counters, self.config.listen.port)
+        self.front.tap = recorder
+        return recorder
+
+    def _build_source(self, path: str) -> Source:
+        """Build the source of requests from a pcap file."""
+        from .pcap import Source
+
+        return Source(path, self.config.listen.port, self.front, self.clock)
+
+    def _build_handover(self, directory: str) -> Handover:
+        """Build the hand-over between two processes of this node, which meet at a socket in this directory."""
+        config = self.config
+        window = max((cls.window for cls in config.settings.classes), default=0.0)
+        path = meeting_place(directory, config.name, f"{config.listen.host}:{config.listen.port}")
+        dialogue = Dialogue(_HandoverHost(self), Succession(window), self.clock, self.counters)
+        self.broker.twin, self.broker.keys.told = dialogue, dialogue.told
+        handover = Handover(path, dialogue, self._listening_sockets, self.clock, self.counters, self.log)
+        handover.serves = self._serve
+        return handover
+
     def print_counters(self) -> None:
         """On request and at exit; never dropped by the rate limit."""
         dropped = {"log.dropped": self.log.dropped} if self.log.dropped else {}
@@ -240,7 +256,7 @@
     def print_state(self) -> None:
         """On SIGUSR1: the counters, who is connected most, and the descriptors."""
         self.print_counters()
-        addresses, blocks = self.front.table.top(TOP)
+        addresses, blocks = self.front.table.top(MAX_TOP)
         self.log.always(
             "admission.top",
             addresses=" ".join(f"{name}={count}" for name, count in addresses),
@@ -292,20 +308,20 @@
             self.front.apply(rules_of(setup.admission))
         self.setup = dataclasses.replace(self.setup, admission=setup.admission)
 
-    def _tell(self, at: float) -> None:
+    def _request_leave(self, at: float) -> None:
         """The notice to leave, given at this time; a second one changes nothing."""
-        if not self._told.is_set():
+        if not self._leave_requested.is_set():
             self._notice = min(at, self.clock.now())
-            self._told.set()
+            self._leave_requested.set()
 
     async def run(self) -> int:
         """Serve until told to leave, then leave."""
         loop = asyncio.get_running_loop()
-        loop.set_exception_handler(self._failed)
+        loop.set_exception_handler(self._log_error)
         with signals.heard(
             loop,
             {
-                signal.SIGTERM: self._tell,
+                signal.SIGTERM: self._request_leave,
                 signal.SIGUSR1: lambda at: self.print_state(),
                 signal.SIGHUP: lambda at: self.reload(),
             },
@@ -324,20 +340,20 @@
             except OSError as error:
                 raise ConfigError(f"ops: {error.strerror or error}") from None
         work: list[Awaitable[None]] = [
-            self._kept(self.executor.run),
-            self._kept(self._sweep),
-            self._kept(self._report),
+            self._restart_on_error(self.executor.run),
+            self._restart_on_error(self._sweep),
+            self._restart_on_error(self._report),
             *(part.run() for part in self.subsystems),
         ]
         if self.handover is not None:
             work.append(self.handover.run())
         if self.consumer is not None:
-            work.append(self._kept(self.consumer.run))
+            work.append(self._restart_on_error(self.consumer.run))
         if self.source is not None:
             work.append(self._replay(self.source))
         tasks = [asyncio.ensure_future(part) for part in work]
         self.broker.tick()
-        await self._told.wait()
+        await self._leave_requested.wait()
         await self._leave()
         for task in tasks:
             task.cancel()
@@ -367,7 +383,7 @@
         self.log.event("pcap.read", **dataclasses.asdict(source.report))
         while self.broker.in_hand:
             await asyncio.sleep(0.01)
-        self._tell(self.clock.now())
+        self._request_leave(self.clock.now())
 
     def _began(self) -> None:
         """The executor is up."""
@@ -382,7 +398,7 @@
         sockets = self.handover.sockets if self.handover is not None else []
         for part in self.subsystems:
             sockets[:] = part.adopt(sockets)
-        sockets[:] = self._clients(sockets)
+        sockets[:] = self._client_sockets(sockets)
         if sockets:
             self.front.adopt(sockets)
             sockets.clear()
@@ -404,11 +420,11 @@
         if self.broker.started:
             self.lifecycle.move(Move.CAN_SERVE)
 
-    def _passed(self) -> list[socket.socket]:
+    def _listening_sockets(self) -> list[socket.socket]:
         """The listening sockets that a successor is to have."""
         return self.front.listeners + [sock for part in self.subsystems for sock in part.sockets()]
 
-    def _clients(self, sockets: list[socket.socket]) -> list[socket.socket]:
+    def _client_sockets(self, sockets: list[socket.socket]) -> list[socket.socket]:
         """Of a predecessor's sockets those for clients. The others belong to a subsystem that is off here."""
         port, mine = self.config.listen.port, []
         for sock in sockets:
@@ -425,14 +441,14 @@
         await self.reporter.run()
 
     def _ready(self) -> bool:
-        return self.front.healthy and (self.lifecycle.handed_over or not self._told.is_set())
+        return self.front.healthy and (self.lifecycle.handed_over or not self._leave_requested.is_set())
 
-    def _failed(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+    def _log_error(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         """Guards the node against an error in one connection's handling: the rest serves on."""
         self.counters.add("errors")
         self.log.event("error", message=str(context.get("message")), error=repr(context.get("exception")))
 
-    async def _kept(self, work: Callable[[], Awaitable[None]]) -> None:
+    async def _restart_on_error(self, work: Callable[[], Awaitable[None]]) -> None:
         """Begin a part's work again should an error of ours end it: without it the node would only look alive."""
         while True:
             try:
@@ -478,8 +494,8 @@
 
     async def _finish(self) -> None:
         """A successor serves: no drain, only an end once all that is open here is over."""
-        longest = max((cls.deadline for cls in self.config.settings.classes), default=LONGEST)
-        stop = self._notice + min(longest, LONGEST) + REST - STOP_MARGIN
+        longest = max((cls.deadline for cls in self.config.settings.classes), default=MAX_DEADLINE)
+        stop = self._notice + min(longest, MAX_DEADLINE) + FINISH_MARGIN - STOP_MARGIN
         self.broker.finish(stop)
         if self.consumer is not None:
             self.consumer.leave()
@@ -490,7 +506,7 @@
             await asyncio.sleep(0.01)
 
 
-class _Side:
+class _HandoverHost:
     """The node as the hand-over sees it (`handover.Host`)."""
 
     def __init__(self, node: Node) -> None:
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -130,7 +130,7 @@
         turns += 1
         assert turns > 1
 
-    asyncio.run(node._kept(part))
+    asyncio.run(node._restart_on_error(part))
     assert turns == 2 and node.counters.counts["errors"] == 1
 
 
