Consensus: the identity that a store holds is one type, read and written in one place

Cause: agree/subsystem.py packed and unpacked the record under agree/who, and cli/agree.py unpacked it again and handed a bare tuple of six on; constants were WHO, MET, AGAIN, MEET, FOR_GOOD. Change: identity.StoredIdentity packs and unpacks; cli has the typed StoredLog. The bytes on the disk are as they were, and a new test pins them. `agree inspect` now refuses a standing that no version writes, as the node always did.

--- a/chutepin/agree/identity.py
+++ b/chutepin/agree/identity.py
@@ -9,6 +9,11 @@
 from enum import Enum
 from typing import NamedTuple
 
+import msgpack
+
+IDENTITY_KEY = b"agree/who"  # of the store, for a `StoredIdentity`
+MET_KEY = b"agree/met"  # for the numbers of the other voters' stores, by name
+
 
 class Meet(NamedTuple):
     """A voter with a new store: know me by this number. `born`: of the sender's store."""
@@ -33,6 +38,25 @@
     FOLLOWS = "follows"  # the file does not name it
 
 
+class StoredIdentity(NamedTuple):
+    """Whose replicated log a store holds, and the number with which that store was born."""
+
+    cluster: str
+    node: str
+    born: str
+    standing: Standing
+
+    def pack(self) -> bytes:
+        """Encode for the store."""
+        return bytes(msgpack.packb([self.cluster, self.node, self.born, self.standing.value]))
+
+    @classmethod
+    def unpack(cls, data: bytes) -> StoredIdentity:
+        """Decode what `pack` gave."""
+        cluster, node, born, standing = msgpack.unpackb(data)
+        return cls(cluster, node, born, Standing(standing))
+
+
 class Identity:
     """Of one node. `standing`, `born` and `met` are durable; the edge keeps them where `changed` says so."""
 
--- a/chutepin/agree/subsystem.py
+++ b/chutepin/agree/subsystem.py
@@ -18,7 +18,7 @@
 from .codec import Hello, Said
 from .core import RefusedError, Role, Times
 from .facts import Facts
-from .identity import Identity, Meet, Met, Standing, plain
+from .identity import IDENTITY_KEY, MET_KEY, Identity, Meet, Met, Standing, StoredIdentity, plain
 from .journal import Journal, JournalError, Operation
 from .member import Answer, Effect, Member, Send, Tell
 from .messages import Apply, Persist, Readable, Restore, Voters
@@ -26,10 +26,10 @@
 from .replica import Outcome, State
 from .wire import Links, Wire, now
 
-FOR_GOOD = float("inf")
-WHO, MET = b"agree/who", b"agree/met"
-AGAIN = 5.0  # seconds after a fault of the store until it is tried again
-MEET = 0.5  # seconds between questions whether the others have met this store
+NO_EXPIRY = float("inf")
+NO_MET = bytes(msgpack.packb({}))
+RETRY_AFTER = 5.0  # seconds after a fault of the store until it is tried again
+MEET_EVERY = 0.5  # seconds between questions whether the others have met this store
 
 
 class Agreement:
@@ -43,7 +43,7 @@
         self._counters, self._log, self._rng = counters, log, random.Random(random.SystemRandom().getrandbits(64))
         self._times = Times(setup.election, setup.heartbeat, log=4 * setup.log, kept=setup.log // 2)
         self.machine = Facts()
-        self._identity = self._known()
+        self._identity = self._load_identity()
         self.member: Member | None = None
         self._journal = Journal()
         self._wire = Wire(links, self._hello, self._deliver, ledger, counters)
@@ -57,30 +57,29 @@
 
     # --- who this is ---
 
-    def _known(self) -> Identity:
-        """As the store has it. Raises ConfigError for a store of another node or cluster."""
+    def _load_identity(self) -> Identity:
+        """Read the identity from the store, or draw one for a new store. Raises ConfigError for another node's."""
         try:
-            raw = self._store.get(WHO)
-            met = msgpack.unpackb(self._store.get(MET) or b"\x80")
+            raw = self._store.get(IDENTITY_KEY)
+            met = msgpack.unpackb(self._store.get(MET_KEY) or NO_MET)
         except StoreError as error:
             raise ConfigError(f"store.directory: {error}") from None
         if raw is None:
             born = f"{random.SystemRandom().getrandbits(48):012x}"
             return Identity(self._name, self._setup.voters, born, None, met)
-        cluster, name, born, standing = msgpack.unpackb(raw)
-        if (cluster, name) != (self._links.cluster, self._name):
+        stored = StoredIdentity.unpack(raw)
+        if (stored.cluster, stored.node) != (self._links.cluster, self._name):
             raise ConfigError(
-                f"store.directory: the log in it is that of {name} in cluster {cluster}, not of "
+                f"store.directory: the log in it is that of {stored.node} in cluster {stored.cluster}, not of "
                 f"{self._name} in {self._links.cluster}"
             )
-        return Identity(self._name, self._setup.voters, born, Standing(standing), met)
+        return Identity(self._name, self._setup.voters, stored.born, stored.standing, met)
 
-    def _who(self) -> list[Operation]:
-        who = self._identity
-        return [
-            (WHO, bytes(msgpack.packb([self._links.cluster, self._name, who.born, who.standing.value]))),
-            (MET, bytes(msgpack.packb(who.met))),
-        ]
+    def _identity_operations(self) -> list[Operation]:
+        """What the store is to hold of the identity."""
+        identity = self._identity
+        stored = StoredIdentity(self._links.cluster, self._name, identity.born, identity.standing)
+        return [(IDENTITY_KEY, stored.pack()), (MET_KEY, bytes(msgpack.packb(identity.met)))]
 
     def _hello(self, to: str) -> Hello:
         return Hello(self._links.cluster, self._name, self._identity.identity, plain(to), self.machine.version)
@@ -109,7 +108,7 @@
                     await self._work()
                 except (StoreError, JournalError) as error:
                     self._halt(str(error))
-                    await asyncio.sleep(AGAIN)
+                    await asyncio.sleep(RETRY_AFTER)
         finally:
             self._halt("ended")
             self._wire.close()
@@ -150,18 +149,18 @@
 
     async def _begin(self) -> None:
         """Come back as what the store says, once it is durable there who this is."""
-        await self._durable(self._who())
+        await self._durable(self._identity_operations())
         while self._identity.standing is Standing.FORMING:
             self.idle_reason = f"forms: {' '.join(self._identity.others)} must have met this store"
             for name in self._identity.others:
                 self._wire.send(name, Meet(self._name, self._identity.born))
             self._more.clear()
             try:
-                async with asyncio.timeout_at(asyncio.get_running_loop().time() + MEET):
+                async with asyncio.timeout_at(asyncio.get_running_loop().time() + MEET_EVERY):
                     await self._more.wait()
             except TimeoutError:
                 pass
-        await self._durable(self._who())
+        await self._durable(self._identity_operations())
         self._wire.renew()
         self._journal = Journal()
         durable, rest = self._journal.load(self._store.get)
@@ -202,7 +201,7 @@
                     if value is None:
                         self._store.withdraw(key)
                     else:
-                        self._store.offer(key, value, FOR_GOOD)
+                        self._store.offer(key, value, NO_EXPIRY)
                     break
                 except StoreBusy:
                     await self._store.room()
@@ -306,7 +305,7 @@
         """Say whom this node has met, after that is durable: it holds for ever."""
         try:
             if new:
-                await self._durable(self._who())
+                await self._durable(self._identity_operations())
             else:
                 await self._store.committed()
         except StoreError:
@@ -323,7 +322,7 @@
     async def outcome(self, begin: Callable[[Member], int]) -> Outcome:
         """Begin a request at the member, which returns its ticket, and wait for the outcome."""
         if (member := self.member) is None:
-            return Outcome(State.REFUSED, why=self.idle_reason, again=AGAIN)
+            return Outcome(State.REFUSED, why=self.idle_reason, again=RETRY_AFTER)
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self._tickets[begin(member)] = future
         self.pump()
--- a/chutepin/cli/agree.py
+++ b/chutepin/cli/agree.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import click
 
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from ..agree.core import Durable
+    from ..agree.identity import StoredIdentity
     from ..agree.messages import Persist
 
 NUMBERS = frozenset({"term", "commit", "applied", "log-bytes", "snapshot"})
@@ -144,30 +145,37 @@
     return _said(ops, "agree-snapshot", json_asked)
 
 
-def opened(directory: Path, work: Callable[[str, Durable], Persist] | None = None) -> tuple[Any, ...]:
-    """What a store holds: cluster, node, number, standing, the durable state; and, where there is `work` to do by the
-    node's identity, what was written. Raises ClickException for damage, AskError where there is nothing."""
-    import msgpack
+class StoredLog(NamedTuple):
+    """What a store holds of the replicated log."""
 
-    from ..agree.identity import Identity, Standing
+    owner: StoredIdentity
+    durable: Durable
+    written: Persist | None  # by the work that was asked for
+
+
+def open_log(directory: Path, work: Callable[[str, Durable], Persist] | None = None) -> StoredLog:
+    """Read a store that no node has open; where there is `work` to do by the node's identity, write what it returns.
+    Raises ClickException for damage, AskError where there is nothing."""
+    from ..agree.identity import IDENTITY_KEY, Identity, StoredIdentity
     from ..agree.journal import Journal, JournalError
-    from ..agree.subsystem import FOR_GOOD, WHO
+    from ..agree.subsystem import NO_EXPIRY
     from ..store import Store, StoreError
 
     try:
         with Store.open(directory) as store:
-            who, journal = store.get(WHO), Journal()
-            if who is None:
+            raw, journal = store.get(IDENTITY_KEY), Journal()
+            if raw is None:
                 raise AskError(f"{directory}: there is no log in it")
-            cluster, node, born, standing = msgpack.unpackb(who)
+            owner = StoredIdentity.unpack(raw)
             durable, _ = journal.load(store.get)
-            change = None
+            written = None
             if work is not None:
-                change = work(Identity(node, (), born, Standing(standing), {}).identity, durable)
-                for key, value in journal.write(change):
-                    store.delete(key) if value is None else store.put(key, value, FOR_GOOD)
+                identity = Identity(owner.node, (), owner.born, owner.standing, {}).identity
+                written = work(identity, durable)
+                for key, value in journal.write(written):
+                    store.delete(key) if value is None else store.put(key, value, NO_EXPIRY)
                 store.commit()
-            return cluster, node, born, standing, durable, change
+            return StoredLog(owner, durable, written)
     except JournalError as error:
         raise click.ClickException(f"{directory}: {error}") from None
     except StoreError as error:
@@ -182,18 +190,19 @@
     run. Exit code 1 if the name was not the cluster's: nothing has changed."""
     from ..agree.recovery import alone
 
-    name, node, _, _, durable, _ = opened(directory)
+    owner, durable, _ = open_log(directory)
     click.echo(
-        f"{node} holds the log up to {durable.base + len(durable.entries)}, term {durable.term}. What only the "
+        f"{owner.node} holds the log up to {durable.base + len(durable.entries)}, term {durable.term}. What only the "
         f"others had is lost, also where it was agreed; what stands here counts as agreed, also where it never "
         f"was. None of the other voters may ever start with its old store again: empty those first.",
         err=True,
     )
-    if (cluster or click.prompt("The cluster's name, to go on", err=True)) != name:
+    if (cluster or click.prompt("The cluster's name, to go on", err=True)) != owner.cluster:
         click.echo(f"that is not the name of the cluster of {directory}; nothing has changed", err=True)
         return 1
-    *_, change = opened(directory, alone)
-    click.echo(f"{node} votes alone from its next start on, in term {change.term}")
+    written = open_log(directory, alone).written
+    assert written is not None
+    click.echo(f"{owner.node} votes alone from its next start on, in term {written.term}")
     return 0
 
 
@@ -202,12 +211,12 @@
 @JSON
 def inspect(directory: Path, json_asked: bool) -> int:
     """What the store in DIRECTORY holds of the log; the node must not run. Exit code 1 if it is damaged."""
-    cluster, node, born, standing, durable, _ = opened(directory)
+    owner, durable, _ = open_log(directory)
     found = {
-        "cluster": cluster,
-        "node": node,
-        "store": born,
-        "standing": standing,
+        "cluster": owner.cluster,
+        "node": owner.node,
+        "store": owner.born,
+        "standing": owner.standing.value,
         "term": durable.term,
         "vote": durable.vote,
         "snapshot": durable.snapshot.upto if durable.snapshot is not None else 0,
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -12,7 +12,7 @@
 
 from chutepin.agree import Durable, Entry, Kind, Persist, Snapshot, Voters
 from chutepin.agree.codec import MAX_FRAME, CodecError, Hello, Reader, Said, decode, encode
-from chutepin.agree.identity import Identity, Meet, Met, Standing
+from chutepin.agree.identity import Identity, Meet, Met, Standing, StoredIdentity
 from chutepin.agree.journal import Journal, JournalError, entry_key
 from chutepin.agree.member import Forward, Greet, Rejected
 from chutepin.agree.messages import Append, Piece
@@ -358,3 +358,11 @@
     assert again.standing is Standing.LOST and again.identity == "n1~other"
     assert Identity("n4", voters, "x", None, {}).standing is Standing.FOLLOWS
     assert other.meet("n2", Meet("n1", "forged")) is None
+
+
+@pytest.mark.parametrize("standing", Standing)
+def test_the_identity_in_the_store_keeps_its_form(standing: Standing) -> None:
+    """A store that an earlier version wrote must be read as the same node's."""
+    stored = StoredIdentity("fleet", "n1", "0123456789ab", standing)
+    written = msgpack.packb(["fleet", "n1", "0123456789ab", standing.value])
+    assert stored.pack() == written and StoredIdentity.unpack(written) == stored
