Tests: the platform's list in deploy/balancer.toml names all files of the node

Cause: the list is kept by hand; a new module such as registry.py could be left out unseen. Change: a test compares it with the package, but for the test bench lab/ and the package's own __init__.py, which holds a docstring alone and was never listed. Result: it passes, and fails once registry.py is taken out of the list (tried).

--- a/tests/test_repo.py
+++ b/tests/test_repo.py
@@ -6,6 +6,7 @@
 import re
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -44,6 +45,15 @@
     assert cycles(import_graph(ROOT / "chutepin"), *kinds) == []
 
 
+def test_the_platforms_list_names_all_files_of_the_node() -> None:
+    """All of the package but the test bench and the package's own docstring."""
+    listed = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["node"]
+    files = {file for name in listed for file in ((ROOT / name).rglob("*.py") if name[-3:] != ".py" else [ROOT / name])}
+    package = ROOT / "chutepin"
+    node = {file for file in package.rglob("*.py") if not file.is_relative_to(package / "lab")}
+    assert files == node - {package / "__init__.py"}
+
+
 def test_each_way_to_import_is_found_with_the_moment_it_runs(tmp_path: Path) -> None:
     package = tmp_path / "top"
     (package / "sub").mkdir(parents=True)
