--- a/chutepin/agree/subsystem.py
+++ b/chutepin/agree/subsystem.py
@@ -1,11 +1,11 @@
-"""The log in common put together for a node: member, journal on the store, words on the cluster's links, operators."""
+"""Runs a node's part in the replicated log: its member, the journal on the store, messages on the cluster's links."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import socket
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 
 import msgpack
 
@@ -17,23 +17,23 @@
 from ..subsystem import Order
 from .codec import Hello, Said
 from .core import RefusedError, Role, Times
-from .facts import Facts, set_fact
-from .identity import Identity, Meet, Met, Standing, plain
+from .facts import Facts
+from .identity import IDENTITY_KEY, MET_KEY, Identity, Meet, Met, Standing, StoredIdentity, plain
 from .journal import Journal, JournalError, Operation
 from .member import Answer, Effect, Member, Send, Tell
 from .messages import Apply, Persist, Readable, Restore, Voters
+from .operators import OperatorCalls
 from .replica import Outcome, State
 from .wire import Links, Wire, now
 
-FOR_GOOD = float("inf")
-WHO, MET = b"agree/who", b"agree/met"
-AGAIN = 5.0  # seconds after a fault of the store until it is tried again
-MEET = 0.5  # seconds between questions whether the others have met this store
-CALL_BY = 4.0  # seconds in which an operator's call is answered
+NO_EXPIRY = float("inf")
+NO_MET = bytes(msgpack.packb({}))
+RETRY_AFTER = 5.0  # seconds after a fault of the store until it is tried again
+MEET_EVERY = 0.5  # seconds between questions whether the others have met this store
 
 
 class Agreement:
-    """This node's part in the log in common (`subsystem.Subsystem`)."""
+    """This node's part in the replicated log (`subsystem.Subsystem`, `operators.Participant`)."""
 
     def __init__(
         self, setup: AgreeSetup, name: str, links: Links, store: Store, ledger: Ledger, counters: Counters, log: Log
@@ -43,13 +43,13 @@
         self._counters, self._log, self._rng = counters, log, random.Random(random.SystemRandom().getrandbits(64))
         self._times = Times(setup.election, setup.heartbeat, log=4 * setup.log, kept=setup.log // 2)
         self.machine = Facts()
-        self._identity = self._known()
-        self._member: Member | None = None
+        self._identity = self._load_identity()
+        self.member: Member | None = None
         self._journal = Journal()
         self._wire = Wire(links, self._hello, self._deliver, ledger, counters)
-        self._why = "starts"  # why it takes no part
+        self.idle_reason = "starts"  # why it takes no part
         self._queue: list[Effect] = []
-        self._more, self._wanted, self._stopped = asyncio.Event(), asyncio.Event(), asyncio.Event()
+        self._more, self._wanted = asyncio.Event(), asyncio.Event()
         self._busy = False  # effects are being carried out; who does it takes up new ones, too
         self._timer: asyncio.TimerHandle | None = None
         self._tickets: dict[int, asyncio.Future[Outcome]] = {}
@@ -57,30 +57,29 @@
 
     # --- who this is ---
 
-    def _known(self) -> Identity:
-        """As the store has it. Raises ConfigError for a store of another node or cluster."""
+    def _load_identity(self) -> Identity:
+        """Read the identity from the store, or draw one for a new store. Raises ConfigError for another node's."""
         try:
-            raw = self._store.get(WHO)
-            met = msgpack.unpackb(self._store.get(MET) or b"\x80")
+            raw = self._store.get(IDENTITY_KEY)
+            met = msgpack.unpackb(self._store.get(MET_KEY) or NO_MET)
         except StoreError as error:
             raise ConfigError(f"store.directory: {error}") from None
         if raw is None:
             born = f"{random.SystemRandom().getrandbits(48):012x}"
             return Identity(self._name, self._setup.voters, born, None, met)
-        cluster, name, born, standing = msgpack.unpackb(raw)
-        if (cluster, name) != (self._links.cluster, self._name):
+        stored = StoredIdentity.unpack(raw)
+        if (stored.cluster, stored.node) != (self._links.cluster, self._name):
             raise ConfigError(
-                f"store.directory: the log in it is that of {name} in cluster {cluster}, not of "
+                f"store.directory: the log in it is that of {stored.node} in cluster {stored.cluster}, not of "
                 f"{self._name} in {self._links.cluster}"
             )
-        return Identity(self._name, self._setup.voters, born, Standing(standing), met)
+        return Identity(self._name, self._setup.voters, stored.born, stored.standing, met)
 
-    def _who(self) -> list[Operation]:
-        who = self._identity
-        return [
-            (WHO, bytes(msgpack.packb([self._links.cluster, self._name, who.born, who.standing.value]))),
-            (MET, bytes(msgpack.packb(who.met))),
-        ]
+    def _identity_operations(self) -> list[Operation]:
+        """What the store is to hold of the identity."""
+        identity = self._identity
+        stored = StoredIdentity(self._links.cluster, self._name, identity.born, identity.standing)
+        return [(IDENTITY_KEY, stored.pack()), (MET_KEY, bytes(msgpack.packb(identity.met)))]
 
     def _hello(self, to: str) -> Hello:
         return Hello(self._links.cluster, self._name, self._identity.identity, plain(to), self.machine.version)
@@ -109,7 +108,7 @@
                     await self._work()
                 except (StoreError, JournalError) as error:
                     self._halt(str(error))
-                    await asyncio.sleep(AGAIN)
+                    await asyncio.sleep(RETRY_AFTER)
         finally:
             self._halt("ended")
             self._wire.close()
@@ -122,14 +121,20 @@
 
     def leave(self) -> None:
         """Have somebody else lead before this process ends."""
-        if (member := self._member) is not None and member.core.role is Role.LEADER:
-            for to in member.core.furthest():
-                self._do(lambda to=to: member.hand_over(now(), to))  # type: ignore[misc]
-                return
+        member = self.member
+        if member is None or member.core.role is not Role.LEADER:
+            return
+        if not (others := member.core.furthest()):
+            return
+        try:
+            member.hand_over(now(), others[0])
+        except RefusedError:  # it hands over already
+            return
+        self.pump()
 
     def figures(self) -> dict[str, int]:
         """Counts of the member."""
-        member = self._member
+        member = self.member
         if member is None:
             return {"agree.member": 0}
         return {f"agree.{name}": count for name, count in sorted(member.counts.items())} | {
@@ -144,18 +149,18 @@
 
     async def _begin(self) -> None:
         """Come back as what the store says, once it is durable there who this is."""
-        await self._durable(self._who())
+        await self._durable(self._identity_operations())
         while self._identity.standing is Standing.FORMING:
-            self._why = f"forms: {' '.join(self._identity.others)} must have met this store"
+            self.idle_reason = f"forms: {' '.join(self._identity.others)} must have met this store"
             for name in self._identity.others:
                 self._wire.send(name, Meet(self._name, self._identity.born))
             self._more.clear()
             try:
-                async with asyncio.timeout_at(asyncio.get_running_loop().time() + MEET):
+                async with asyncio.timeout_at(asyncio.get_running_loop().time() + MEET_EVERY):
                     await self._more.wait()
             except TimeoutError:
                 pass
-        await self._durable(self._who())
+        await self._durable(self._identity_operations())
         self._wire.renew()
         self._journal = Journal()
         durable, rest = self._journal.load(self._store.get)
@@ -163,21 +168,21 @@
         self._queue.clear()
         self.machine = Facts()
         first = Voters(self._setup.voters)
-        self._member = Member(self._identity.identity, first, durable, self.machine, now(), self._rng, self._times)
+        self.member = Member(self._identity.identity, first, durable, self.machine, now(), self._rng, self._times)
         self._log.event(
             "agree.takes_part",
             identity=self._identity.identity,
             term=durable.term,
-            applied=self._member.replica.applied,
+            applied=self.member.replica.applied,
             standing=self._identity.standing.value,
         )
-        self._pump()
+        self.pump()
 
     def _halt(self, why: str) -> None:
         """Take no part. What was not carried out never was: it is as after a crash."""
         self._log.event("agree.halted", why=why)
         self._counters.add("agree.halted")
-        self._why, self._member, self._busy = why, None, False
+        self.idle_reason, self.member, self._busy = why, None, False
         self._queue.clear()
         if self._timer is not None:
             self._timer.cancel()
@@ -196,7 +201,7 @@
                     if value is None:
                         self._store.withdraw(key)
                     else:
-                        self._store.offer(key, value, FOR_GOOD)
+                        self._store.offer(key, value, NO_EXPIRY)
                     break
                 except StoreBusy:
                     await self._store.room()
@@ -213,7 +218,7 @@
             await self._more.wait()
             self._more.clear()
             self._busy = True
-            while (member := self._member) is not None and (self._queue or self._collect(member)):
+            while (member := self.member) is not None and (self._queue or self._collect(member)):
                 self._collect(member)
                 queue, self._queue = self._queue, []
                 operations = [
@@ -224,7 +229,7 @@
                 for effect in queue:
                     self._carry_out(member, effect)
             self._busy = False
-            self._pump()
+            self.pump()
 
     def _collect(self, member: Member) -> list[Effect]:
         if member.core.since > self._setup.log:
@@ -232,9 +237,9 @@
         self._queue += member.take()
         return self._queue
 
-    def _pump(self) -> None:
+    def pump(self) -> None:
         """Carry out what needs no disk at once; leave the rest to the worker."""
-        member = self._member
+        member = self.member
         if member is None or self._busy:
             return
         self._busy = True
@@ -252,12 +257,12 @@
 
     def _tick(self) -> None:
         self._timer = None
-        if (member := self._member) is not None:
+        if (member := self.member) is not None:
             member.alive = tuple(self._links.alive())
             voters = set(map(plain, member.members.voters))
             member.observer.others = tuple(name for name in member.alive if name not in voters)
             member.tick(now())
-            self._pump()
+            self.pump()
             if self._timer is None:  # the worker is at the disk; time goes on
                 loop = asyncio.get_running_loop()
                 self._timer = loop.call_at(loop.time() + max(0.001, member.wake_at() - now()), self._tick)
@@ -279,10 +284,10 @@
     def _deliver(self, hello: Hello, word: Said) -> None:
         if isinstance(word, Meet | Met):
             self._met(hello, word)
-        elif not isinstance(word, Hello) and (member := self._member) is not None:
+        elif not isinstance(word, Hello) and (member := self.member) is not None:
             member.met(hello.identity, hello.version)
             member.receive(now(), hello.identity, word)
-            self._pump()
+            self.pump()
 
     def _met(self, hello: Hello, word: Meet | Met) -> None:
         if isinstance(word, Met):
@@ -300,7 +305,7 @@
         """Say whom this node has met, after that is durable: it holds for ever."""
         try:
             if new:
-                await self._durable(self._who())
+                await self._durable(self._identity_operations())
             else:
                 await self._store.committed()
         except StoreError:
@@ -309,172 +314,24 @@
 
     # --- operators ---
 
-    def _do(self, work: Callable[[], None]) -> str | None:
-        """Why it was refused, if it was."""
-        try:
-            work()
-        except RefusedError as error:
-            return f"{error}{f'; the leader is {plain(error.leader)}' if error.leader else ''}"
-        self._pump()
-        return None
-
-    async def _ticket(self, begin: Callable[[Member], int]) -> Outcome:
-        """The outcome of what is asked of the member."""
-        if (member := self._member) is None:
-            return Outcome(State.REFUSED, why=self._why, again=AGAIN)
+    @property
+    def standing(self) -> Standing:
+        """How far the other voters know this node's store."""
+        return self._identity.standing
+
+    async def outcome(self, begin: Callable[[Member], int]) -> Outcome:
+        """Begin a request at the member, which returns its ticket, and wait for the outcome."""
+        if (member := self.member) is None:
+            return Outcome(State.REFUSED, why=self.idle_reason, again=RETRY_AFTER)
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self._tickets[begin(member)] = future
-        self._pump()
+        self.pump()
         return await future
 
     def calls(self) -> dict[str, Callable[[], str]]:
-        """What operators may call."""
-        return {"agree": self._status}
+        """Return the operators' calls without arguments, by name."""
+        return OperatorCalls(self).calls()
 
     def orders(self) -> dict[str, Order]:
-        """What they may call with words."""
-        return {
-            "agree-set": _words(2, 3, self._set),
-            "agree-get": _words(1, 1, self._get),
-            "agree-ask": _words(1, 1, self._ask),
-            "agree-void": _words(1, 1, self._void),
-            "agree-add": _words(1, 2, self._add),
-            "agree-remove": _words(1, 1, self._remove),
-            "agree-transfer": _words(1, 1, self._transfer),
-            "agree-snapshot": _words(0, 0, self._snapshot),
-        }
-
-    def _status(self) -> str:
-        member = self._member
-        if member is None:
-            return f"FAILURE takes no part: {self._why}\n"
-        core = member.core
-        lines = [
-            f"identity {member.name}",
-            f"standing {self._identity.standing.value}",
-            f"role {core.role.name.lower() if member.votes else 'observer'}",
-            f"term {core.term}",
-            f"leader {plain(member.leader) or '-'}",
-            f"commit {core.commit}",
-            f"applied {member.replica.applied}",
-            f"chain {member.replica.chain.hex()}",
-            f"log-bytes {core.size}",
-            f"snapshot {core.snapshot.upto if core.snapshot is not None else 0}",
-            f"follows {plain(member.observer.upstream) or '-'}" if not member.votes else "follows -",
-        ]
-        lines += [
-            f"{'voter' if name in member.members.voters else 'learner'} {name} lag "
-            f"{core.lag(name) if core.role is Role.LEADER else '-'}"
-            for name in member.members.everybody
-        ]
-        return "\n".join(["SUCCESS", *lines, "EOT"]) + "\n"
-
-    async def _set(self, words: list[str]) -> str:
-        name, value, *id = words
-        data = set_fact(name, value.encode())
-        return await self._proposed(bytes.fromhex(id[0]) if id else None, data, False)
-
-    async def _proposed(self, known: bytes | None, data: bytes, void: bool) -> str:
-        id = known or (self._member.new_id() if self._member is not None else bytes(16))
-        return _told(
-            id,
-            await self._ticket(
-                lambda member: member.propose(now(), id, data, now() + CALL_BY, repeated=known is not None, void=void)
-            ),
-        )
-
-    async def _void(self, words: list[str]) -> str:
-        return await self._proposed(bytes.fromhex(words[0]), b"", True)
-
-    async def _ask(self, words: list[str]) -> str:
-        """What has become of an id, as all that is agreed by now says."""
-        id = bytes.fromhex(words[0])
-        read = await self._ticket(lambda member: member.read(now(), now() + CALL_BY))
-        if read.state is not State.AGREED or self._member is None:
-            return _told(id, Outcome(State.UNKNOWN, why=read.why, again=read.again))
-        return _told(
-            id,
-            self._member.replica.outcome(id)
-            or Outcome(State.UNKNOWN, why=f"not agreed up to {read.at}; agree-void makes sure"),
-        )
-
-    async def _get(self, words: list[str]) -> str:
-        read = await self._ticket(lambda member: member.read(now(), now() + CALL_BY))
-        if read.state is not State.AGREED or self._member is None:
-            return f"FAILURE {read.why}; again in {read.again:.1f} s\n"
-        fact = self.machine.known.get(words[0])
-        shown = f"set-at {fact.at} times {fact.times} {fact.value.decode()}" if fact is not None else "not set"
-        return f"SUCCESS upto {self._member.replica.applied} {shown}\n"
-
-    async def _add(self, words: list[str]) -> str:
-        """Let a node vote that has caught up as a learner; begin with making it one."""
-        member = self._member
-        if member is None:
-            return f"FAILURE takes no part: {self._why}\n"
-        name, members = words[0], member.core.members
-        if name not in member.known and name != plain(member.name):
-            return f"FAILURE {name} is not known here: only a leader has met all nodes that live\n"
-        identity = member.known[name][0] if name in member.known else member.name
-        if identity not in members.everybody:
-            new = Voters(members.voters, (*members.learners, identity))
-        else:
-            new = Voters((*members.voters, identity), tuple(other for other in members.learners if other != identity))
-        why = self._do(lambda: member.change(now(), new))
-        what = "votes" if identity in new.voters else "learns; call again to let it vote"
-        return f"FAILURE {why}\n" if why else f"SUCCESS {identity} {what}\n"
-
-    async def _remove(self, words: list[str]) -> str:
-        member = self._member
-        if member is None:
-            return f"FAILURE takes no part: {self._why}\n"
-        members = member.core.members
-        if words[0] in (member.name, plain(member.name)) and member.core.role is Role.LEADER:
-            to = next(iter(member.core.furthest()), "")
-            why = self._do(lambda: member.hand_over(now(), to))
-            return f"FAILURE {why or f'it leads and hands over to {plain(to)}; call again there'}\n"
-        new = Voters(*(tuple(other for other in names if words[0] not in (other, plain(other))) for names in members))
-        if new == members:
-            return f"FAILURE {words[0]} takes no part\n"
-        why = self._do(lambda: member.change(now(), new))
-        return f"FAILURE {why}\n" if why else f"SUCCESS {words[0]} goes\n"
-
-    async def _transfer(self, words: list[str]) -> str:
-        member = self._member
-        if member is None:
-            return f"FAILURE takes no part: {self._why}\n"
-        to = next((name for name in member.core.members.voters if words[0] in (name, plain(name))), words[0])
-        why = self._do(lambda: member.hand_over(now(), to))
-        return f"FAILURE {why}\n" if why else f"SUCCESS {to} is told to lead\n"
-
-    async def _snapshot(self, words: list[str]) -> str:
-        member = self._member
-        if member is None:
-            return f"FAILURE takes no part: {self._why}\n"
-        member.compact(now())
-        self._pump()
-        return f"SUCCESS upto {member.core.snapshot.upto if member.core.snapshot is not None else 0}\n"
-
-
-def _told(id: bytes, outcome: Outcome) -> str:
-    again = f"; again in {outcome.again:.1f} s" if outcome.again else ""
-    match outcome.state:
-        case State.AGREED:
-            return f"SUCCESS agreed {outcome.at} {id.hex()} {outcome.answer.decode()}\n"
-        case State.REFUSED:
-            return f"FAILURE refused {id.hex()} {outcome.why}{again}\n"
-        case _:
-            return f"FAILURE unknown {id.hex()} {outcome.why}{again}\n"
-
-
-def _words(least: int, most: int, order: Callable[[list[str]], Awaitable[str]]) -> Order:
-    """An order that takes so many words."""
-
-    async def checked(words: list[str]) -> str:
-        if not least <= len(words) <= most:
-            return f"FAILURE takes {least} to {most} words\n"
-        try:
-            return await order(words)
-        except ValueError as error:
-            return f"FAILURE {error}\n"
-
-    return checked
+        """Return the operators' calls with arguments, by name."""
+        return OperatorCalls(self).orders()
--- a/chutepin/config/platform.py
+++ b/chutepin/config/platform.py
@@ -1,4 +1,4 @@
-"""The platform's JSON file and the operator's for AMQP, checked field by field."""
+"""Parses the platform's JSON file and the operator's for AMQP, and checks them field by field."""
 
 from __future__ import annotations
 
@@ -12,22 +12,12 @@
 
 from poststall import api, wire
 
-
-class ConfigError(ValueError):
-    """What is wrong; the message names the field."""
-
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Where to listen or connect."""
-
-    host: str
-    port: int
+from .checks import Address, ConfigError, address, text
 
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """All that a node is told at its start."""
+    """The platform's configuration of a node."""
 
     name: str
     listen: Address
@@ -42,28 +32,13 @@
     ops: Address | None = None  # where operators call
 
 
-def address(raw: Any, field: str) -> Address:
-    """`host:port`, both present."""
-    host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ConfigError(f"{field}: not an address of the form host:port")
-    return Address(host, int(port))
-
-
 def positive(raw: Any, field: str) -> float:
-    """A finite number above 0."""
+    """Check that a value is a finite number above 0."""
     if isinstance(raw, bool) or not isinstance(raw, (int, float)) or not 0 < raw < float("inf"):
         raise ConfigError(f"{field}: not a number above 0")
     return float(raw)
 
 
-def text(raw: Any, field: str) -> str:
-    """A text that is not empty."""
-    if not isinstance(raw, str) or not raw:
-        raise ConfigError(f"{field}: missing or not a text")
-    return raw
-
-
 def _seed(raw: Any) -> int:
     try:
         return int(text(raw, "seed"), 16)
@@ -101,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueConfig:
-    """One queue, whose it is and which class its messages have."""
+    """One AMQP queue, its team and the class of its messages."""
 
     name: str
     team: str
