Consensus: a node that votes already is not added to the voters again

Cause: a third `agree voters add n4` answered SUCCESS and agreed on voters (n1, n2, n3, n4, n4), shown by a test: the leader would have counted n4 as two in a majority. Ruled out: the check of one voter at a time compares sets and can't see it. Change: the core refuses any change of members that names a node twice, voters and learners alike. Result: seven new cases fail without the check and pass with it; tests of voters and of the quorum simulator pass.

--- a/chutepin/agree/core.py
+++ b/chutepin/agree/core.py
@@ -213,6 +213,9 @@
             raise RefusedError("one voter at a time", self.name)
         if not members.voters:
             raise RefusedError("nobody would vote", self.name)
+        for name in members.everybody:
+            if members.everybody.count(name) > 1:  # it would count as two in a majority
+                raise RefusedError(f"{name} takes part already", self.name)
         for name in set(members.voters) - set(self.members.voters):
             progress = self._progress.get(name)
             if progress is None or progress.match < self.commit:
--- a/tests/test_agree_voters.py
+++ b/tests/test_agree_voters.py
@@ -136,3 +136,26 @@
         with pytest.raises(RefusedError, match=r"^not the leader$") as refused:
             change(group.now, other.name)
         assert refused.value.leader == group.leader.name
+
+
+@pytest.mark.parametrize("voter", [*FIRST, "n4"])
+def test_a_voter_is_not_added_again(voter: str) -> None:
+    """Twice among the voters, one member would count as two in a majority."""
+    group = Group()
+    for _ in range(2):
+        group.leader.add_node(group.now, "n4")
+        group.run(2.0)
+    members = group.leader.members
+    with pytest.raises(RefusedError, match=r"takes part already$"):
+        group.leader.add_node(group.now, voter)
+    group.run(2.0)
+    assert {member.members for member in group.members.values()} == {members}
+
+
+@pytest.mark.parametrize(
+    "members", [Voters((*FIRST, "n1")), Voters(FIRST, (LATER, LATER)), Voters(FIRST, ("n1",))], ids=str
+)
+def test_nobody_takes_part_twice(members: Voters) -> None:
+    group = Group()
+    with pytest.raises(RefusedError, match=r" takes part already$"):
+        group.leader.change(group.now, members)
