Runs that wait for disk leave room for others; a cold server counts on its warming

While requests were held the cores were used by 0.55 to 0.75: with a told crowd of 2 a node of 6 cores ran 7 at most, though on average a third of the runs waited for disk, which the told figure leaves out. And a server that had just started judged runs of 5 s by its speed of that moment, a fifth, though it is warm 17 s later. Change: a warm server may use the margin of the told crowd by what the gauge on_cores shows of its runs; all of them and all calls back at once are still not over the told figure. A cold server integrates the even warm-up into expected times.

--- a/poststall/logic.py
+++ b/poststall/logic.py
@@ -18,6 +18,7 @@
 
 # Tuned values: ratios and shares, none of them a figure of one deployment.
 ALPHA = 0.1  # weight of a new run in the averages
+RETURN_ALPHA = 0.5  # weight of a look that shows more of the runs on the cores than before
 DEVIATIONS = 0.5  # threshold: this many mean deviations of the run time ...
 MARGIN = 0.1  # ... and at least this share of the average
 SAFETY = 0.85  # share of a told ceiling (memory, crowd, calls) that is used
@@ -126,6 +127,7 @@
         self.random = random.Random(seed)
         self.now = self.born = self.last_control = self.progress = self.stood = 0.0
         self.grown = self.moved = -math.inf  # moved: when the process last went on after a stall
+        self.on_core_share = 1.0  # of the runs, those that want a core of late; the others wait for disk
         self.out: list[api.Action] = []
         self.jobs: dict[str, Job] = {}
         self.held: dict[str, Job] = {}
@@ -165,7 +167,7 @@
         self.served = [1e-3] * len(s.tenants)  # answered within the aim, of late
         self.quotas = sum(tenant.quota for tenant in s.tenants)
         self.buckets = [tenant.quota / s.servers * UNEVEN * BURST for tenant in s.tenants]
-        self.share = self._ramp()
+        self.share = self._warmth()
         self.announced = -1.0
         self.refused_share = self.unread = self.reading = self.cut_spent = self.cut_work = 0.0
         self.slowness, self.core_use, self.excess, self.again_share = slowness, 0.0, 0.0, 0.0
@@ -360,7 +362,17 @@
         return "hopeless" if self.now + wait + self._time_for(job) > job.aim_at else ""
 
     def _time_for(self, job: Job) -> float:
-        return job.work * self.slowness + self.waits[job.cls]
+        return self._run_time(job.work) + self.waits[job.cls]
+
+    def _run_time(self, work: float) -> float:
+        """Expected time on the cores. A cold server warms up meanwhile, evenly at the slowest: at its present
+        speed a long run would look hopeless that ends in time."""
+        time, speed = work * self.slowness, self._warmth()
+        if speed >= 1:
+            return time
+        full, rise = time * speed, (1 - self.settings.cold_from) / self.settings.warm_after
+        end = min(1.0, math.sqrt(speed**2 + 2 * rise * full))  # the speed at its end
+        return (end - speed) / rise + max(0.0, full - (1 - speed**2) / 2 / rise)
 
     def _keep(self, job: Job, cls: api.RequestClass) -> None:
         """Keep the key before any run and for the whole window, counted from the arrival."""
@@ -393,7 +405,8 @@
 
     def _start_runs(self) -> None:
         # What the limit leaves of the crowd may be parked: all of them back at once still fit on the cores.
-        bound = max(1, int(max(self._crowd() * PARKED_SHARE, self._crowd() - self.runs.limit)))
+        room = self._cores_room()
+        bound = max(1, int(max(room * PARKED_SHARE, room - self.runs.limit)))
         while self.held:
             if not (self._permit() and self._cores_take()):
                 self.limited += 1
@@ -662,6 +675,9 @@
         runs = self.in_use + self.other_use
         self.reading += ALPHA * (max(0.0, gauges.get("on_cores", runs) - runs) - self.reading)
         self.core_use = gauges.get("core_use", 0.0)
+        if runs and "on_cores" in gauges:
+            fewer = min(1.0, gauges["on_cores"] / runs) - self.on_core_share
+            self.on_core_share += fewer * (ALPHA if fewer < 0 else RETURN_ALPHA)
         # Growth without the wait while cores idle and requests are held (disk waits leave cores idle).
         if "core_use" in gauges:
             self.usual_use += ALPHA * (self.core_use - self.usual_use)
@@ -733,9 +749,6 @@
             return 1.0
         return s.cold_from + (1 - s.cold_from) * (self.now - self.born) / s.warm_after
 
-    def _ramp(self) -> float:
-        return self._warmth()
-
     def _crowd(self) -> float:
         """How many runs the cores survive now, cold to warm: a part of the told figure, or one run a core."""
         cores = self.settings.cores
@@ -747,10 +760,19 @@
         Guards the crowd whatever the calls do, also where runs cannot be stopped: those on the cores and
         those at calls stay under the ceiling together; what waits for its call waits here. Harm: a call
         or a start waits while calls take long."""
-        return self.in_use + self.calling + self.other_use + 1 <= self._crowd()
+        return self.in_use + self.calling + self.other_use + 1 <= self._cores_room()
+
+    def _cores_room(self) -> float:
+        """Runs and calls in hand that the cores survive. Where runs wait for disk, which the told figure
+        leaves out, a warm server uses the margin too: all of them back at once are still not over it."""
+        return max(self._crowd(), min(self.settings.crowd * self.settings.cores, self._spread(SAFETY)))
+
+    def _spread(self, least: float) -> float:
+        """The crowd where some of the runs wait for disk, which only the gauge of the cores shows."""
+        return self._crowd() / (max(least, self.on_core_share) if self._warmth() >= 1 else 1.0)
 
     def _ceiling(self) -> int:
-        return int(self._crowd() * (1 - PARKED_SHARE))
+        return int(self._spread(1 - PARKED_SHARE) * (1 - PARKED_SHARE))
 
     def _control(self) -> None:
         step, self.last_control = min(1.0, self.now - self.last_control), self.now
@@ -806,7 +828,7 @@
         wanted = BACKLOG * self.mean_aim
         self.excess = max(0.0, (backlog := self._backlog()) - wanted)
         error = max(-2.0, min(1.0, (wanted - backlog) / wanted))
-        self.share = max(LEAST_SHARE, min(1.0, self._ramp(), self.share * math.exp(GAIN * error * step)))
+        self.share = max(LEAST_SHARE, min(1.0, self._warmth(), self.share * math.exp(GAIN * error * step)))
 
     def _busiest(self) -> float:
         """The part of all traffic that the busiest caller sends, each counted over the time it was heard.
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -405,9 +405,13 @@
         replace(PLAIN, classes=(VIEW, CALLING), crowd=1.0, calls_below=True, calls_out=1000.0),
     ],
 )
-def test_crowd_holds_when_every_call_returns_at_once(settings: Settings) -> None:
-    """Runs under the limit all went to calls, others took their permits, then all came back."""
+@pytest.mark.parametrize("on_core_share", [1.0, 0.0])
+def test_crowd_holds_when_every_call_returns_at_once(settings: Settings, on_core_share: float) -> None:
+    """Runs under the limit all went to calls, others took their permits, then all came back; also where no run seemed
+    to want a core just before."""
     policy = started(settings)
+    policy.on_core_share = on_core_share
+    policy.runs.set_ceiling(policy._ceiling())
     policy.runs.limit = policy.runs.ceiling
     policy.handle(0.0, [req(f"c{at}", cls="calling", hint=0.01) for at in range(40)])
     for _ in range(20):
@@ -646,3 +650,53 @@
 
     busy, idle = after(1.0), after(0.4)
     assert busy[0] == 8 and idle[0] >= 10 and idle[1] > 1.2 * busy[1]
+
+
+# --- runs that wait for disk, and servers that warm up ---
+
+PATIENT = replace(VIEW, aim=100.0, deadline=200.0)
+DISK = replace(PLAIN, classes=(PATIENT,), cores=4, crowd=2.0, gauges=("core_use", "on_cores"))
+
+
+def most_runs(settings: Settings, on_core: float) -> int:
+    """Runs at once on idle cores, when this share of them wants a core."""
+    policy = started(settings)
+    policy.handle(0.0, [req(f"r{index}", due=200.0, hint=0.5) for index in range(40)])
+    for step in range(1, 100):
+        policy.handle(0.05 * step, [api.TimerFired(policy.token, (0.2, on_core * policy.in_use))])
+    return policy.in_use
+
+
+def test_runs_that_wait_for_disk_leave_room_for_others_up_to_the_told_crowd() -> None:
+    """On the bench cores idled at 0.6 while requests were refused: all runs counted as if each had a core."""
+    told = int(DISK.crowd * DISK.cores)
+    assert most_runs(DISK, on_core=1.0) < most_runs(DISK, on_core=0.5) <= told
+    assert most_runs(DISK, on_core=0.0) <= told
+
+
+def test_a_cold_server_keeps_the_margin_though_its_runs_wait_for_disk() -> None:
+    cold = replace(DISK, cold=True, cold_from=0.5, warm_after=1000.0)
+    assert most_runs(cold, on_core=0.5) == most_runs(cold, on_core=1.0)
+
+
+def test_room_for_others_is_gone_as_soon_as_the_runs_want_their_cores() -> None:
+    policy = started(DISK)
+    policy.on_core_share, policy.in_use = 0.1, 4
+    wide = policy._cores_room()
+    for _ in range(4):
+        policy._timer(api.TimerFired(policy.token, (1.0, 4.0)))
+    assert wide == DISK.crowd * DISK.cores and policy._cores_room() < 1.1 * policy._crowd()
+
+
+@pytest.mark.parametrize("work", [0.1, 1.0, 3.0, 20.0])
+@pytest.mark.parametrize("age", [0.0, 2.0, 9.9, 10.0, 50.0])
+def test_a_cold_servers_runs_are_expected_to_speed_up_as_it_warms(work: float, age: float) -> None:
+    """Long runs looked hopeless at the present speed: on the bench a cold server refused nearly all."""
+    policy = started(replace(PLAIN, cold=True, cold_from=0.2, warm_after=10.0))
+    policy.now = age
+    policy.slowness = 1 / policy._warmth()
+    left, time, step = work, 0.0, 0.001
+    while left > 0:
+        left -= step * min(1.0, 0.2 + 0.8 * (age + time) / 10.0)
+        time += step
+    assert policy._run_time(work) == pytest.approx(time, rel=0.01, abs=0.01)
