Simulator: a meter counts every byte, datagrams and exchanges, and CPU by member

Cause: the simulator counted datagrams that arrived only; exchanges of whole states over TCP cost nothing in it.

Simulator(meter=...) feeds it. Zones beyond eight letters.

--- a/chutepin/lab/faults.py
+++ b/chutepin/lab/faults.py
@@ -39,6 +39,7 @@
     groups: tuple[tuple[str, ...], ...] = ()
 
 
+ZONES = "abcdefghijklmnopqrstuvwxyz"
 KINDS = frozenset(
     {
         "crash",
@@ -79,11 +80,11 @@
 
     def zone(self, name: str) -> str:
         """Members are dealt out over the zones."""
-        return "abcdefgh"[(int(name[1:]) - 1) % self.zones]
+        return ZONES[(int(name[1:]) - 1) % self.zones]
 
     def region(self, name: str) -> str:
         """Zones are dealt out over the regions."""
-        return f"r{1 + 'abcdefgh'.index(self.zone(name)) % self.regions}"
+        return f"r{1 + ZONES.index(self.zone(name)) % self.regions}"
 
     def as_json(self) -> str:
         """The schedule as a file's text."""
--- a/chutepin/lab/simulator.py
+++ b/chutepin/lab/simulator.py
@@ -8,12 +8,13 @@
 import heapq
 import itertools
 import random
+import time
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
 
 from ..cluster.detector import Answer, Detector, Effect, Send
-from ..cluster.frames import cluster_id, decode, encode
+from ..cluster.frames import cluster_id, decode, encode, stream_frame
 from ..cluster.messages import Gossip, Packet
 from ..cluster.records import Record, Status
 from ..cluster.view import Persist, Tell
@@ -21,6 +22,7 @@
 from ..config.cluster import ClusterSetup
 from .faults import Fault, Schedule
 from .history import History, Seen, Shown, Truth
+from .scale.traffic import Direction, Kind, TrafficMeter
 
 BUFFER = 256  # datagrams that wait in a socket's buffer
 TURN = 0.00005  # seconds that a member takes for a datagram
@@ -58,12 +60,14 @@
         seeds: int = 3,
         known: bool = False,
         settings: dict[str, Any] | None = None,
+        meter: TrafficMeter | None = None,
     ) -> None:
         """`wire`: every packet goes through its bytes. `show`: seconds between looks at what members show. `kept`: the
         incarnation survives in a store. `delay`: seconds of a link at the most. `known`: all know each other
-        from the start, which spares the joining of many."""
+        from the start, which spares the joining of many. `meter`: takes every byte, datagrams as well as exchanges over
+        TCP, and the CPU time of each member; it changes nothing in the history."""
         self.schedule, self._make, self._wire, self._show, self._kept = schedule, make, wire, show, kept
-        self._known = known
+        self._known, self._meter = known, meter
         self._rng = random.Random(seed)
         self._delay, self._seeds, self._settings = delay, seeds, settings or {}
         self.now = 0.0
@@ -169,9 +173,20 @@
             if host.name not in self.truth.stopped:
                 self._at(self._thaws(host), self._woken, host)
             return
+        began = self._cpu()
         host.detector.tick(self.now)
+        self._spend(host, began)
         self._carry_out(host, None)
 
+    def _cpu(self) -> int:
+        """The CPU time so far, in nanoseconds, where it is asked for."""
+        return time.process_time_ns() if self._meter is not None else 0
+
+    def _spend(self, host: _Host, began: int) -> None:
+        """A member has worked since then."""
+        if self._meter is not None:
+            self._meter.spend(host.name, self.now, time.process_time_ns() - began)
+
     def _thaws(self, host: _Host) -> float:
         return int(self.now) + self.truth.slow[host.name] + 1e-6
 
@@ -179,17 +194,22 @@
         """Give a packet to a member; the answer to one over TCP."""
         if host.detector is None:
             return None
+        began = self._cpu()
         host.detector.receive(self.now, packet, stream)
+        self._spend(host, began)
         return self._carry_out(host, packet if stream else None)
 
     def _carry_out(self, host: _Host, stream: Packet | None) -> Packet | None:
         detector = host.detector
         assert detector is not None
         answer = None
-        for effect in detector.take():
+        began = self._cpu()
+        effects, due = detector.take(), detector.wake_at()
+        self._spend(host, began)
+        for effect in effects:
             answer = self._effect(host, effect) or answer
         host.timer += 1
-        self._at(max(self.now, detector.wake_at()), self._tick, host, host.timer)
+        self._at(max(self.now, due), self._tick, host, host.timer)
         return answer if stream is not None else None
 
     def _effect(self, host: _Host, effect: Effect) -> Packet | None:
@@ -233,11 +253,31 @@
         for update in send.packet.updates:
             if isinstance(update, Record) and update.status is Status.ALIVE and isinstance(send.packet.body, Gossip):
                 self._told[host.name, update] += 1
+        size = self._datagram(host, send.packet)
         if (host.name, target.name) in self.truth.cuts:
             return
         for _ in range(1 + (self._rng.random() < self.truth.duplicate)):
             if self._rng.random() >= self.truth.loss:
-                self._at(self.now + self._way(), self._arrive, target, self._through(send.packet))
+                self._at(self.now + self._way(), self._arrive, target, self._through(send.packet), size)
+
+    def _datagram(self, host: _Host, packet: Packet) -> int:
+        """Count a datagram that a member sends; its bytes, where they are counted."""
+        if self._meter is None:
+            return 0
+        began = self._cpu()
+        size = len(encode(packet, self._cluster))
+        self._spend(host, began)
+        self._meter.count(host.name, self.now, Direction.SENT, Kind.DATAGRAM, size)
+        return size
+
+    def _stream(self, sender: _Host, receiver: _Host, packet: Packet) -> None:
+        """Count one direction of an exchange over TCP."""
+        if self._meter is None:
+            return
+        began = self._cpu()
+        size = len(stream_frame(packet, self._cluster))
+        self._spend(sender, began)
+        self._meter.carried(sender.name, receiver.name, self.now, Kind.STREAM, size)
 
     def _way(self) -> float:
         return self._delay * (0.2 + 0.8 * self._rng.random()) + self.truth.delay * self._rng.random()
@@ -251,9 +291,11 @@
         self.history.longest = max(self.history.longest, len(data))
         return decode(data, self._cluster, False)
 
-    def _arrive(self, host: _Host, packet: Packet) -> None:
+    def _arrive(self, host: _Host, packet: Packet, size: int) -> None:
         if host.detector is None:
             return
+        if self._meter is not None:
+            self._meter.count(host.name, self.now, Direction.RECEIVED, Kind.DATAGRAM, size)
         if self._frozen(host):
             host.waiting.append(packet)
         else:
@@ -263,8 +305,10 @@
         """A request over TCP reaches its target, whose answer goes back."""
         if not self.truth.round_trip(host.name, target.name) or target.detector is None or self._frozen(target):
             return
+        self._stream(host, target, packet)
         answer = self._receive(target, packet, True)
         if answer is not None:
+            self._stream(target, host, answer)
             self._at(self.now + self._way(), self._answered, host, answer)
 
     def _answered(self, host: _Host, answer: Packet) -> None:
