--- a/chutepin/cli/lab.py
+++ b/chutepin/cli/lab.py
@@ -11,6 +11,7 @@
 from ..lab.faults import Schedule, draw, load_schedule, smallest
 from ..lab.history import History
 from ..lab.invariants import broken
+from . import scale
 from .output import as_json, show_json, show_table
 
 JSON = click.option("--json", "json_asked", is_flag=True, help="Print JSON also on a terminal.")
@@ -27,6 +28,9 @@
     """Faults on many processes, with what must hold of them."""
 
 
+command.add_command(scale.command)
+
+
 def schedule_of(name: str, seed: int) -> Schedule:
     """The schedule of a file, or `draw` for one of 6 members from the seed."""
     if name == "draw":
