Scale in real time: hollow nodes, many to a process, among real programs

Cause: what hundreds of members cost was known from the simulator only, which had never been compared at a size.

Transport: counters bytes_in, stream_bytes_in, stream_bytes_out.

--- a/chutepin/cli/scale.py
+++ b/chutepin/cli/scale.py
@@ -10,10 +10,12 @@
 
 import click
 
+from ..lab.scale.guard import MEGABYTE, MemoryExceededError
+from ..lab.scale.realtime import ScaleRunError, check, play
 from ..lab.scale.report import ScaleReport, keep
 from ..lab.scale.virtual import simulate
 from ..lab.scale.workload import Load, Scenario
-from .output import as_json, show_fields, show_json
+from .output import as_json, show_json, show_table
 
 MOST_MEMBERS = 4000
 BAD_ARGUMENTS = 2  # exit code
@@ -56,13 +58,11 @@
         yield lambda part: bar.update(task, completed=part)
 
 
-def show(report: ScaleReport, json_asked: bool) -> None:
-    """One object, or one table."""
-    fields = report.as_json()
-    if as_json(json_asked):
-        show_json(fields)
-    else:
-        show_fields(f"{report.load.members} members, {report.mode}", fields)
+def show_tables(reports: list[ScaleReport]) -> None:
+    """One table, a column for each run."""
+    columns = [report.as_json() for report in reports]
+    rows = [{"figure": name, **{str(column["mode"]): column[name] for column in columns}} for name in columns[0]]
+    show_table(f"{reports[0].load.members} members", rows)
 
 
 @click.command("scale", cls=OneLineCommand)
@@ -82,6 +82,10 @@
 @click.option(
     "--crash-share", type=click.FloatRange(0, 1), default=0.0, show_default=True, help="Of the restarts: no goodbye."
 )
+@click.option("--hollow", type=click.IntRange(0), help="Members that are control parts only, in real time.")
+@click.option("--real", type=click.IntRange(0), help="Members that are programs of their own, in real time.")
+@click.option("--both", is_flag=True, help="The same load in the simulator beside the real run.")
+@click.option("--most-mb", type=click.IntRange(1), help="Of memory in a real run, in place of half of the machine's.")
 @click.option(
     "--out", type=click.Path(file_okay=False, path_type=Path), help="A folder for the results, with seed and commit."
 )
@@ -93,16 +97,56 @@
     seed: int,
     scenario: str,
     crash_share: float,
+    hollow: int | None,
+    real: int | None,
+    both: bool,
+    most_mb: int | None,
     out: Path | None,
     json_asked: bool,
 ) -> int:
-    """Many members under steady restarts; exit code 1 if a live member was declared dead, a crash did not become known
-    or the views are not equal in the end."""
+    """Many members under steady restarts: in the simulator, or with --hollow and --real in real time.
+
+    Exit code 1 if a live member was declared dead, a crash did not become known or the views are not equal in the
+    end."""
     load = Load(members, restarts, seconds, seed, Scenario(scenario), crash_share)
-    with shown_progress() as progress:
-        reports = [simulate(load, progress)[0]]
+    in_real_time = hollow is not None or real is not None
+    if both and not in_real_time:
+        raise BadArguments("--both: needs --hollow and --real")
+    reports = []
+    if in_real_time:
+        reports.append(_real(load, hollow or 0, real or 0, most_mb))
+    if both or not in_real_time:
+        with shown_progress() as progress:
+            reports.append(simulate(load, progress)[0])
     if out is not None:
-        keep(out, reports)
-    for report in reports:
-        show(report, json_asked)
+        _keep(out, reports)
+    if as_json(json_asked):
+        for report in reports:
+            show_json(report.as_json())
+    else:
+        show_tables(reports)
     return int(not all(report.sound for report in reports))
+
+
+def _real(load: Load, hollow: int, real: int, most_mb: int | None) -> ScaleReport:
+    """A run in real time."""
+    try:
+        check(load, hollow, real)
+    except ValueError as error:
+        raise BadArguments(str(error)) from None
+    try:
+        with shown_progress() as progress:
+            return play(load, hollow, real, progress, most_mb * MEGABYTE if most_mb is not None else None)
+    except (MemoryExceededError, ScaleRunError) as error:
+        raise click.ClickException(str(error)) from None
+
+
+def _keep(out: Path, reports: list[ScaleReport]) -> None:
+    """Results and charts in a folder."""
+    path = keep(out, reports)
+    try:
+        from ..lab.scale.drawing import draw
+    except ImportError:
+        raise click.ClickException("the chart needs requirements-tools.txt") from None
+    draw(out)
+    click.echo(f"kept in {path}", err=True)
--- a/chutepin/cluster/transport.py
+++ b/chutepin/cluster/transport.py
@@ -146,6 +146,7 @@
             except OSError:  # an error that belongs to an earlier send
                 continue
             self._read += 1
+            self._counters.add("cluster.bytes_in", len(data))
             self._take(data)
 
     def _rest(self) -> None:
@@ -257,8 +258,15 @@
         data = await asyncio.get_running_loop().sock_recv(sock, PIECE)
         if not data:
             raise FrameError("truncated")
+        self._counters.add("cluster.stream_bytes_in", len(data))
         return data
 
+    async def _say(self, sock: socket.socket, packet: Packet) -> None:
+        """The one frame of this side. Raises OSError."""
+        frame = stream_frame(packet, self._cluster)
+        await asyncio.get_running_loop().sock_sendall(sock, frame)
+        self._counters.add("cluster.stream_bytes_out", len(frame))
+
     async def _answer(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         try:
@@ -273,7 +281,7 @@
                 packet = await self._frame(sock, begun)
                 answer = self._deliver(packet, True) if self._open else None
                 if answer is not None:
-                    await loop.sock_sendall(sock, stream_frame(answer, self._cluster))
+                    await self._say(sock, answer)
         except FrameError as error:
             self._dropped(str(error))
         except (OSError, TimeoutError):
@@ -284,7 +292,7 @@
         try:
             async with asyncio.timeout_at(loop.time() + BY):
                 await loop.sock_connect(sock, where)
-                await loop.sock_sendall(sock, stream_frame(packet, self._cluster))
+                await self._say(sock, packet)
                 answer = await self._frame(sock)
                 if self._open:
                     self._deliver(answer, True)
--- /dev/null
+++ b/chutepin/lab/scale/drawing.py
@@ -0,0 +1,38 @@
+"""Charts of the results that a folder holds: bytes and CPU of a member by the number of members."""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+from .. import charts
+
+Points = dict[str, list[tuple[float, float]]]
+CHARTS = (
+    ("scale-bytes.svg", "bytes sent by a member", "bytes a second", "sent_bytes_per_s"),
+    ("scale-cpu.svg", "CPU of a member", "milliseconds a second", "cpu_ms_per_s"),
+)
+
+
+def results(directory: Path) -> list[dict[str, Any]]:
+    """All results that were kept in a folder."""
+    return [result for path in sorted(directory.glob("scale-*.json")) for result in json.loads(path.read_text())]
+
+
+def draw(directory: Path) -> None:
+    """Draw all charts again from all results."""
+    found = results(directory)
+    for file, title, unit, figure in CHARTS:
+        charts.lines(directory / file, title, "members", unit, _points(found, figure))
+
+
+def _points(found: list[dict[str, Any]], figure: str) -> Points:
+    """Mean and 99th percentile by members, a line for each mode, scenario and rate of restarts."""
+    points: defaultdict[str, list[tuple[float, float]]] = defaultdict(list)
+    for result in found:
+        kind = f"{result['mode']}, {result['scenario']}, {result['restarts_per_s']:g} restarts/s"
+        for part, value in result[figure].items():
+            points[f"{kind}, {part}"].append((result["members"], value))
+    return {name: sorted(line) for name, line in points.items()}
--- a/chutepin/lab/scale/report.py
+++ b/chutepin/lab/scale/report.py
@@ -111,6 +111,7 @@
     views_equal_s: float
     memory_mb: float
     took_s: float
+    commit: str  # of the text that ran
 
 
 def report(observed: Observed, mode: str, hollow: int = 0, real: int = 0) -> ScaleReport:
@@ -135,7 +136,7 @@
         crash_known=crash_known(history),
         views_equal_s=observed.views_equal_s,
         took_s=observed.took_s,
-        commit=commit(),
+        commit=observed.commit,
     )
 
 
--- a/chutepin/lab/scale/virtual.py
+++ b/chutepin/lab/scale/virtual.py
@@ -11,9 +11,9 @@
 
 from ..faults import Schedule
 from ..simulator import EPOCH, Simulator
-from .report import Observed, ScaleReport, report
+from .report import Observed, ScaleReport, commit, report
 from .traffic import TrafficMeter
-from .workload import REGIONS, Load, plan
+from .workload import LINGER, REGIONS, Load, plan
 
 LOOK = 0.25  # seconds between looks at whether all views are equal
 STABLE = 5.0  # seconds for which views are equal until a run may end
@@ -34,6 +34,7 @@
             seeds=REGIONS,
             settings={"members": 2 * schedule.members, **settings},
             meter=meter,
+            linger=LINGER,
         )
         self._progress = progress
         self._last_fault = max((fault.at for fault in schedule.faults), default=0.0)
@@ -62,7 +63,11 @@
 
     def _views_equal(self) -> bool:
         """All that run show the same: those that run, and no others."""
-        views = [host.detector.view for host in self.hosts.values() if host.detector is not None]
+        views = [
+            host.detector.view
+            for host in self.hosts.values()
+            if host.detector is not None and not host.detector.leaving
+        ]
         return len({view.digest for view in views}) <= 1 and all(view.members == len(views) for view in views)
 
 
@@ -70,7 +75,7 @@
     load: Load, progress: Progress = lambda _: None, settings: dict[str, Any] | None = None
 ) -> tuple[ScaleReport, ScaleSimulator]:
     """Play a load; its report, and the simulator as it ended. `settings`: further fields of `ClusterSetup`."""
-    begun = time.monotonic()
+    begun, text = time.monotonic(), commit()
     meter = TrafficMeter()
     simulator = ScaleSimulator(plan(load), load.seed, meter, settings or {}, progress)
     try:
@@ -85,5 +90,6 @@
         simulator.views_equal_s,
         resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
         time.monotonic() - begun,
+        text,
     )
     return report(observed, "simulator"), simulator
--- a/chutepin/lab/scale/workload.py
+++ b/chutepin/lab/scale/workload.py
@@ -11,6 +11,7 @@
 REGIONS = 9
 ZONES = 22
 AWAY = 6.0  # seconds between the end of a process and the start of its successor, in an orderly restart
+LINGER = 1.35  # seconds that an idle node goes on after the notice to leave, under a platform that allows 1.5
 REPAIR = 60.0  # seconds until a crashed member is started again
 CRASHES_A_DAY = 240 / 2300  # of each member
 WARM_UP = 5.0  # seconds of load before anything is measured
--- a/chutepin/lab/simulator.py
+++ b/chutepin/lab/simulator.py
@@ -62,13 +62,15 @@
         known: bool = False,
         settings: dict[str, Any] | None = None,
         meter: TrafficMeter | None = None,
+        linger: float = 0.0,
     ) -> None:
         """`wire`: every packet goes through its bytes. `show`: seconds between looks at what members show. `kept`: the
         incarnation survives in a store. `delay`: seconds of a link at the most. `known`: all know each other
         from the start, which spares the joining of many. `meter`: takes every byte, datagrams as well as exchanges over
-        TCP, and the CPU time of each member; it changes nothing in the history."""
+        TCP, and the CPU time of each member; it changes nothing in the history. `linger`: seconds
+        for which a member that leaves goes on."""
         self.schedule, self._make, self._wire, self._show, self._kept = schedule, make, wire, show, kept
-        self._known, self._meter = known, meter
+        self._known, self._meter, self._linger = known, meter, linger
         self._rng = random.Random(seed)
         self._delay, self._seeds, self._settings = delay, seeds, settings or {}
         self.now = 0.0
@@ -152,7 +154,15 @@
                 if fault.what == "leave":
                     host.detector.leave(self.now)
                     self._carry_out(host, None)
-                host.detector = None
+                if fault.what == "leave" and self._linger:
+                    self._at(self.now + self._linger, self._gone, host, host.detector)
+                else:
+                    host.detector = None
+
+    def _gone(self, host: _Host, detector: Detector) -> None:
+        """A process that was told to leave ends."""
+        if host.detector is detector:
+            host.detector = None
 
     def _woken(self, host: _Host) -> None:
         """What waited is read, then the timer fires, late."""
