--- a/chutepin/cli/scale.py
+++ b/chutepin/cli/scale.py
@@ -61,7 +61,9 @@
 def show_tables(reports: list[ScaleReport]) -> None:
     """One table, a column for each run."""
     columns = [report.as_json() for report in reports]
-    rows = [{"figure": name, **{str(column["mode"]): column[name] for column in columns}} for name in columns[0]]
+    rows = [
+        {"figure": name, **{str(column["mode"]): column.get(name, "") for column in columns}} for name in columns[0]
+    ]
     show_table(f"{reports[0].load.members} members", rows)
 
 
--- a/chutepin/lab/scale/realtime.py
+++ b/chutepin/lab/scale/realtime.py
@@ -100,7 +100,7 @@
         self.schedule = plan(load)
         self.history = History(self.schedule)
         self.meter = TrafficMeter()
-        self._real_names = spread(self.schedule.names(), real) if real else set()
+        self.real_names = spread(self.schedule.names(), real) if real else set()
         self._workers: list[WorkerProcess] = []
         self._worker_of: dict[str, WorkerProcess] = {}
         self._programs: dict[str, Program] = {}
@@ -140,7 +140,7 @@
     async def _start(self, stack: AsyncExitStack, bound: float) -> None:
         directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         all_places = places(self.schedule, [await free_port() for _ in self.schedule.names()])
-        hollow = [place for place in all_places if place.name not in self._real_names]
+        hollow = [place for place in all_places if place.name not in self.real_names]
         count = math.ceil(len(hollow) / HOLLOW_PER_WORKER)
         self._spawn(self._guard_on())
         for number in range(count):
@@ -149,7 +149,7 @@
             self._worker_of |= dict.fromkeys((place.name for place in worker.places), worker)
             await worker.start(stack, bound, self._took)
         gate = asyncio.Semaphore(STARTS_AT_ONCE)
-        real = [place for place in all_places if place.name in self._real_names]
+        real = [place for place in all_places if place.name in self.real_names]
         await asyncio.gather(*(self._start_program(stack, place, directory, gate) for place in real))
         self._spawn(self._watch_programs())
 
@@ -353,4 +353,4 @@
         time.monotonic() - begun,
         text,
     )
-    return report(observed, "real", hollow, real)
+    return report(observed, "real", run.real_names, set(run.schedule.names()) - run.real_names)
--- a/chutepin/lab/scale/report.py
+++ b/chutepin/lab/scale/report.py
@@ -6,6 +6,7 @@
 import math
 import statistics
 import subprocess
+from collections.abc import Collection
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -54,6 +55,8 @@
     sent_datagrams: Figures
     sent_streams: Figures
     cpu: Figures
+    cpu_hollow: Figures
+    cpu_real: Figures
     peaks: dict[float, float]  # width of a window to bytes per second
     memory_mb: float
     false_deaths: int
@@ -85,6 +88,8 @@
             "sent_datagram_bytes_per_s": self.sent_datagrams.as_json(),
             "sent_stream_bytes_per_s": self.sent_streams.as_json(),
             "cpu_ms_per_s": self.cpu.as_json(),
+            **({"cpu_hollow_ms_per_s": self.cpu_hollow.as_json()} if self.hollow else {}),
+            **({"cpu_real_ms_per_s": self.cpu_real.as_json()} if self.real else {}),
             "peak_bytes_per_s": {f"{width:g}s": round(peak) for width, peak in self.peaks.items()},
             "memory_mb": round(self.memory_mb, 1),
             "false_deaths": self.false_deaths,
@@ -114,22 +119,24 @@
     commit: str  # of the text that ran
 
 
-def report(observed: Observed, mode: str, hollow: int = 0, real: int = 0) -> ScaleReport:
-    """The figures of a run."""
+def report(observed: Observed, mode: str, real: Collection[str] = (), hollow: Collection[str] = ()) -> ScaleReport:
+    """The figures of a run. `real`, `hollow`: names of these members, in real time."""
     load, history, meter = observed.load, observed.history, observed.meter
     names = history.schedule.names()
     span = Span(int(WARM_UP), int(WARM_UP + load.measured_seconds))
     return ScaleReport(
         mode=mode,
         load=load,
-        hollow=hollow,
-        real=real,
+        hollow=len(hollow),
+        real=len(real),
         restarts=sum(len(fault.members) for fault in history.done if fault.what == "restart"),
         sent=figures(meter.rates(names, span, Direction.SENT)),
         received=figures(meter.rates(names, span, Direction.RECEIVED)),
         sent_datagrams=figures(meter.rates(names, span, Direction.SENT, Kind.DATAGRAM)),
         sent_streams=figures(meter.rates(names, span, Direction.SENT, Kind.STREAM)),
         cpu=figures(meter.cpu(names, span)),
+        cpu_hollow=figures(meter.cpu(hollow, span)),
+        cpu_real=figures(meter.cpu(real, span)),
         peaks={width: meter.peak(span, width) for width in PEAK_WIDTHS},
         memory_mb=observed.memory_mb,
         false_deaths=false_deaths(history, observed.epoch),
