Scale in real time: no signal before a restarted program has its handlers

Ruled out: bad links in the views, an address in use.

Change: a program is asked for counters, and counts as running, once it has joined its executor. One that ends unasked ends the run with a line that says so.

--- a/chutepin/lab/scale/program.py
+++ b/chutepin/lab/scale/program.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from ..fleet import Process
-from ..standins import free_port
+from ..standins import eventually, free_port
 from .guard import cpu_ns
 from .hollow import COUNTERS, Death, ViewSummary, digest_shown
 from .places import Place
@@ -29,7 +29,7 @@
         self._present = [0] * len(COUNTERS)
         self._changes_seen = 0
         self._cpu_ended = 0
-        self.leaving = False
+        self._serves = False  # it has begun to work, so that signals find their handlers
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Start the program and what it speaks to."""
@@ -44,6 +44,7 @@
             "PYTHONOPTIMIZE": "1",
         }
         await world.start(stack, "--setup", str(setup))
+        self._serves = True
 
     @property
     def _log(self) -> Path:
@@ -58,17 +59,23 @@
     @property
     def running(self) -> bool:
         """It runs and was not told to leave."""
-        return bool(self.pid) and not self.leaving
+        return bool(self.pid) and self._serves
+
+    @property
+    def ended_unasked(self) -> bool:
+        """It has ended, and nobody had told it to."""
+        return self._serves and not self.pid
 
     # --- what is done to it ---
 
     def leave(self) -> None:
         """SIGTERM."""
-        self.leaving = True
+        self._serves = False
         self._process.signal(signal.SIGTERM)
 
     def crash(self) -> None:
         """SIGKILL."""
+        self._serves = False
         self._process.signal(signal.SIGKILL)
 
     async def restart(self) -> None:
@@ -85,8 +92,12 @@
         self._cpu = 0
         self.traffic()  # what it wrote at its end
         self._ended = [old + new for old, new in zip(self._ended, self._present, strict=True)]
-        self._present, self._changes_seen, self.leaving = [0] * len(COUNTERS), 0, False
-        await self._process.world.spawn()
+        self._present, self._changes_seen = [0] * len(COUNTERS), 0
+        world = self._process.world
+        joins = len(world.joins)
+        await world.spawn()
+        await eventually(lambda: len(world.joins) > joins)
+        self._serves = True
 
     # --- what is seen of it ---
 
@@ -98,8 +109,8 @@
         return self._cpu_ended + self._cpu
 
     def ask_for_counters(self) -> None:
-        """It writes them to its log."""
-        if self.pid:
+        """It writes them to its log. One that has not begun to work would be ended by the signal."""
+        if self._serves:
             self._process.signal(signal.SIGUSR1)
 
     def traffic(self) -> list[int]:
--- a/chutepin/lab/scale/realtime.py
+++ b/chutepin/lab/scale/realtime.py
@@ -177,6 +177,9 @@
         for worker in self._workers:
             if worker.process.returncode is not None:
                 raise ScaleRunError(f"a worker process has ended with code {worker.process.returncode}")
+        for name, program in self._programs.items():
+            if program.ended_unasked:
+                raise ScaleRunError(f"the program of {name} has ended by itself")
 
     # --- play ---
 
