Test of a real scale run: bytes of exchanges over the whole run, not in a window

Cause: failed once of 6 (load 20): the check that a member sends over 10 bytes of exchanges a second in the measured four seconds depends on when a restarted program comes up. Replaced by one as strict over the whole run: four members that came back were told of sixteen others, and what is sent is received, by kind.

--- a/chutepin/cli/scale.py
+++ b/chutepin/cli/scale.py
@@ -138,7 +138,7 @@
         raise BadArguments(str(error)) from None
     try:
         with shown_progress() as progress:
-            return play(load, hollow, real, progress, most_mb * MEGABYTE if most_mb is not None else None)
+            return play(load, hollow, real, progress, most_mb * MEGABYTE if most_mb is not None else None)[0]
     except (MemoryExceededError, ScaleRunError) as error:
         raise click.ClickException(str(error)) from None
 
--- a/chutepin/lab/scale/realtime.py
+++ b/chutepin/lab/scale/realtime.py
@@ -337,8 +337,8 @@
 
 def play(
     load: Load, hollow: int, real: int, progress: Progress = lambda _: None, most_bytes: int | None = None
-) -> ScaleReport:
-    """Play a load in real time; its report. `most_bytes`: of memory, half of the machine's by default.
+) -> tuple[ScaleReport, RealRun]:
+    """Play a load in real time; its report, and the run as it ended. `most_bytes` of memory: by default half of it.
 
     Raises ValueError, ScaleRunError, MemoryExceededError."""
     check(load, hollow, real)
@@ -356,4 +356,4 @@
         time.monotonic() - begun,
         text,
     )
-    return report(observed, "real", run.real_names, set(run.schedule.names()) - run.real_names)
+    return report(observed, "real", run.real_names, set(run.schedule.names()) - run.real_names), run
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -34,6 +34,7 @@
 FLEET = cluster_id("fleet")
 SMALL = Load(members=40, restarts_per_second=0.5, seconds=12.0, seed=3)
 REAL = Load(members=17, restarts_per_second=0.5, seconds=4.0, seed=5)  # by which the one real program restarts
+SHORTEST_RECORD = 24  # bytes
 RUN_BY_CHANCE = ("cpu", "cpu_hollow", "cpu_real", "memory_mb", "took_s", "commit")
 
 # --- the meter ---
@@ -284,10 +285,15 @@
 
 def test_hollow_nodes_and_a_real_program_in_real_time(no_process_left: Callable[[], None]) -> None:
     assert any(fault.what == "restart" and fault.members == ("n1",) for fault in plan(REAL).faults)
-    report = realtime.play(REAL, hollow=16, real=1)
+    report, played = realtime.play(REAL, hollow=16, real=1)
     assert report.sound, report
     assert (report.hollow, report.real, report.crash_known.crashes) == (16, 1, 1)
-    assert report.sent_datagrams.mean > 100 and report.sent_streams.mean > 10 and report.received.mean > 100
+    assert report.sent.mean > 100 and report.received.mean > 100
+    # Each of the four that came back was told by a seed of all others, whenever that was on a busy machine.
+    assert played.meter.total(Direction.SENT, Kind.STREAM) > 4 * 16 * SHORTEST_RECORD
+    for kind in Kind:
+        sent, received = (played.meter.total(direction, kind) for direction in Direction)
+        assert 0.8 * sent < received < 1.2 * sent  # what is sent to one that is away is not received
     assert report.cpu_hollow.mean > 0 and report.memory_mb > 10
     no_process_left()
 
