--- a/chutepin/lab/simulator.py
+++ b/chutepin/lab/simulator.py
@@ -8,12 +8,13 @@
 import heapq
 import itertools
 import random
+import time
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
 
 from ..cluster.detector import Answer, Detector, Effect, Send
-from ..cluster.frames import cluster_id, decode, encode
+from ..cluster.frames import cluster_id, decode, encode, stream_frame
 from ..cluster.messages import Gossip, Packet
 from ..cluster.records import Record, Status
 from ..cluster.view import Persist, Tell
@@ -21,9 +22,11 @@
 from ..config.cluster import ClusterSetup
 from .faults import Fault, Schedule
 from .history import History, Seen, Shown, Truth
+from .scale.traffic import Direction, Kind, TrafficMeter
 
 BUFFER = 256  # datagrams that wait in a socket's buffer
 TURN = 0.00005  # seconds that a member takes for a datagram
+LENGTH = 4  # bytes of the length before a frame over TCP
 MOST_PACKETS = 500  # a second of each member, on average over the whole schedule; then the run ends
 EPOCH = 1_700_000_000_000  # where the system's clocks begin, in milliseconds
 
@@ -58,12 +61,16 @@
         seeds: int = 3,
         known: bool = False,
         settings: dict[str, Any] | None = None,
+        meter: TrafficMeter | None = None,
+        linger: float = 0.0,
     ) -> None:
         """`wire`: every packet goes through its bytes. `show`: seconds between looks at what members show. `kept`: the
         incarnation survives in a store. `delay`: seconds of a link at the most. `known`: all know each other
-        from the start, which spares the joining of many."""
+        from the start, which spares the joining of many. `meter`: takes every byte, datagrams as well as exchanges over
+        TCP, and the CPU time of each member; it changes nothing in the history. `linger`: seconds
+        for which a member that leaves goes on."""
         self.schedule, self._make, self._wire, self._show, self._kept = schedule, make, wire, show, kept
-        self._known = known
+        self._known, self._meter, self._linger = known, meter, linger
         self._rng = random.Random(seed)
         self._delay, self._seeds, self._settings = delay, seeds, settings or {}
         self.now = 0.0
@@ -147,7 +154,15 @@
                 if fault.what == "leave":
                     host.detector.leave(self.now)
                     self._carry_out(host, None)
-                host.detector = None
+                if fault.what == "leave" and self._linger:
+                    self._at(self.now + self._linger, self._gone, host, host.detector)
+                else:
+                    host.detector = None
+
+    def _gone(self, host: _Host, detector: Detector) -> None:
+        """A process that was told to leave ends."""
+        if host.detector is detector:
+            host.detector = None
 
     def _woken(self, host: _Host) -> None:
         """What waited is read, then the timer fires, late."""
@@ -169,9 +184,20 @@
             if host.name not in self.truth.stopped:
                 self._at(self._thaws(host), self._woken, host)
             return
+        began = self._cpu()
         host.detector.tick(self.now)
+        self._spend(host, began)
         self._carry_out(host, None)
 
+    def _cpu(self) -> int:
+        """The CPU time so far, in nanoseconds, where it is asked for."""
+        return time.process_time_ns() if self._meter is not None else 0
+
+    def _spend(self, host: _Host, began: int) -> None:
+        """A member has worked since then."""
+        if self._meter is not None:
+            self._meter.spend(host.name, self.now, time.process_time_ns() - began)
+
     def _thaws(self, host: _Host) -> float:
         return int(self.now) + self.truth.slow[host.name] + 1e-6
 
@@ -179,17 +205,22 @@
         """Give a packet to a member; the answer to one over TCP."""
         if host.detector is None:
             return None
+        began = self._cpu()
         host.detector.receive(self.now, packet, stream)
+        self._spend(host, began)
         return self._carry_out(host, packet if stream else None)
 
     def _carry_out(self, host: _Host, stream: Packet | None) -> Packet | None:
         detector = host.detector
         assert detector is not None
         answer = None
-        for effect in detector.take():
+        began = self._cpu()
+        effects, due = detector.take(), detector.wake_at()
+        self._spend(host, began)
+        for effect in effects:
             answer = self._effect(host, effect) or answer
         host.timer += 1
-        self._at(max(self.now, detector.wake_at()), self._tick, host, host.timer)
+        self._at(max(self.now, due), self._tick, host, host.timer)
         return answer if stream is not None else None
 
     def _effect(self, host: _Host, effect: Effect) -> Packet | None:
@@ -233,11 +264,43 @@
         for update in send.packet.updates:
             if isinstance(update, Record) and update.status is Status.ALIVE and isinstance(send.packet.body, Gossip):
                 self._told[host.name, update] += 1
+        frame = self._datagram(host, send.packet)
         if (host.name, target.name) in self.truth.cuts:
             return
         for _ in range(1 + (self._rng.random() < self.truth.duplicate)):
             if self._rng.random() >= self.truth.loss:
-                self._at(self.now + self._way(), self._arrive, target, self._through(send.packet))
+                self._at(self.now + self._way(), self._arrive, target, self._through(send.packet), frame)
+
+    def _datagram(self, host: _Host, packet: Packet) -> bytes:
+        """Count a datagram that a member sends; its bytes, where they are counted."""
+        if self._meter is None:
+            return b""
+        began = self._cpu()
+        frame = encode(packet, self._cluster)
+        self._spend(host, began)
+        self._meter.count(host.name, self.now, Direction.SENT, Kind.DATAGRAM, len(frame))
+        return frame
+
+    def _datagram_read(self, host: _Host, frame: bytes) -> None:
+        """Count a datagram that a member reads, and the CPU time of unpacking it."""
+        if self._meter is None:
+            return
+        self._meter.count(host.name, self.now, Direction.RECEIVED, Kind.DATAGRAM, len(frame))
+        began = self._cpu()
+        decode(frame, self._cluster, False)
+        self._spend(host, began)
+
+    def _stream(self, sender: _Host, receiver: _Host, packet: Packet) -> None:
+        """Count one direction of an exchange over TCP, and the CPU time of packing and unpacking it."""
+        if self._meter is None:
+            return
+        began = self._cpu()
+        frame = stream_frame(packet, self._cluster)
+        self._spend(sender, began)
+        self._meter.carried(sender.name, receiver.name, self.now, Kind.STREAM, len(frame))
+        began = self._cpu()
+        decode(frame[LENGTH:], self._cluster, True)
+        self._spend(receiver, began)
 
     def _way(self) -> float:
         return self._delay * (0.2 + 0.8 * self._rng.random()) + self.truth.delay * self._rng.random()
@@ -251,9 +314,10 @@
         self.history.longest = max(self.history.longest, len(data))
         return decode(data, self._cluster, False)
 
-    def _arrive(self, host: _Host, packet: Packet) -> None:
+    def _arrive(self, host: _Host, packet: Packet, frame: bytes) -> None:
         if host.detector is None:
             return
+        self._datagram_read(host, frame)
         if self._frozen(host):
             host.waiting.append(packet)
         else:
@@ -263,8 +327,10 @@
         """A request over TCP reaches its target, whose answer goes back."""
         if not self.truth.round_trip(host.name, target.name) or target.detector is None or self._frozen(target):
             return
+        self._stream(host, target, packet)
         answer = self._receive(target, packet, True)
         if answer is not None:
+            self._stream(target, host, answer)
             self._at(self.now + self._way(), self._answered, host, answer)
 
     def _answered(self, host: _Host, answer: Packet) -> None:
