--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,68 @@
+"""`python -m benchmarks.capacity [--check] [--alone] [PART …]`: measure parts, then render `docs/CAPACITY.md`.
+
+Without a part nothing is measured. `--check` writes nothing and fails if the page is not what would be written."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+
+from .measure import PARTS, measure
+from .page import COMMAND, PAGE, differs, render
+from .results import ResultError, load, save
+
+FAILED, MISUSED = 1, 2
+
+
+class UsageError(ValueError):
+    """Arguments that say nothing; the message is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Arguments:
+    """What is asked for."""
+
+    parts: tuple[str, ...]
+    check: bool
+    alone: bool  # the machine runs nothing else
+
+
+def parse(words: list[str]) -> Arguments:
+    """Raises UsageError."""
+    options = {word for word in words if word.startswith("-")}
+    parts = tuple(word for word in words if not word.startswith("-"))
+    if unknown := sorted(options - {"--check", "--alone"}):
+        raise UsageError(f"unknown option {unknown[0]}; there are --check, --alone")
+    if unknown := [part for part in parts if part not in PARTS]:
+        raise UsageError(f"unknown part {unknown[0]}; there are {', '.join(PARTS)}")
+    if parts and "--check" in options:
+        raise UsageError("--check measures nothing: name no parts")
+    return Arguments(parts, "--check" in options, "--alone" in options)
+
+
+def main(words: list[str]) -> int:
+    """Measure, render, or check; the exit code."""
+    try:
+        arguments = parse(words)
+        for part in arguments.parts:
+            print(part, flush=True)
+            save(measure(part, shared=not arguments.alone))
+        text = render(load())
+    except (UsageError, ResultError) as error:
+        print(f"capacity: {error}", file=sys.stderr)
+        return MISUSED if isinstance(error, UsageError) else FAILED
+    if arguments.check:
+        return _checked(text)
+    PAGE.write_text(text)
+    return 0
+
+
+def _checked(text: str) -> int:
+    if differs(text):
+        print(f"capacity: docs/CAPACITY.md is not what the kept results give; run {COMMAND}", file=sys.stderr)
+        return FAILED
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/benchmarks/capacity/bounds.py
@@ -0,0 +1,34 @@
+"""Bounds that stand in the program's own checks of its settings, found by asking these checks."""
+
+from __future__ import annotations
+
+from chutepin.config import ConfigError
+from chutepin.config.cluster import KNOWN
+
+HIGHEST_TRIED = 2**20
+
+
+class _Quantity:
+    """A number with its unit, as the reader of the operator's file gives it."""
+
+    def __init__(self, unit: str, value: int) -> None:
+        self.type_annotation, self.value = unit, value
+
+
+def most_members() -> int:
+    """The largest `members` that the block `cluster` accepts."""
+    check = KNOWN["members"]
+    assert callable(check)
+
+    def accepted(value: int) -> bool:
+        try:
+            check(_Quantity("members", value), "cluster.members")
+        except ConfigError:
+            return False
+        return True
+
+    low, high = 2, HIGHEST_TRIED
+    while low < high:
+        middle = (low + high + 1) // 2
+        low, high = (middle, high) if accepted(middle) else (low, middle - 1)
+    return low
--- /dev/null
+++ b/benchmarks/capacity/measure/connections.py
@@ -0,0 +1,51 @@
+"""Memory of a node for idle connections of callers."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+
+from .tools import SETTLE_S, Measured, Table, node, pid, resident_bytes
+
+SIZES = (50, 100, 200, 400, 800)
+ROUNDS = 2
+SOCKETS = 4096
+FIRST_ADDRESS = 2  # callers come from 127.0.1.2 and up: the node bounds connections of one address
+UNITS = {"memory_bytes": "bytes"}
+
+
+async def measured() -> Measured:
+    """Connections are opened in steps on one process, and held."""
+    table = Table("connections", UNITS)
+    for _ in range(ROUNDS):
+        async with AsyncExitStack() as stack:
+            world = await node(stack, sockets=SOCKETS)
+            before = resident_bytes(pid(world))
+            readers: list[asyncio.StreamReader] = []
+            for size in SIZES:
+                while len(readers) < size:
+                    readers.append(await _open(stack, world.port, len(readers)))
+                await asyncio.sleep(SETTLE_S)
+                if any(reader.at_eof() for reader in readers):
+                    raise RuntimeError("the node closed a connection")
+                table.add(size, memory_bytes=resident_bytes(pid(world)) - before)
+    return Measured(
+        table.series(),
+        notes=(
+            "idle connections without a request; what stands in the program's memory, not in the kernel's buffers",
+            "above what the process held before the first",
+        ),
+    )
+
+
+async def _open(stack: AsyncExitStack, port: int, number: int) -> asyncio.StreamReader:
+    source = f"127.0.{1 + number // 250}.{FIRST_ADDRESS + number % 250}"
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, local_addr=(source, 0))
+    stack.callback(writer.close)
+    await asyncio.sleep(0.002)
+    return reader
+
+
+def run() -> Measured:
+    """The part."""
+    return asyncio.run(measured())
--- /dev/null
+++ b/benchmarks/capacity/measure/log.py
@@ -0,0 +1,109 @@
+"""The log in common in the simulator: what its leader, a voter and the observers say and spend, by number of observers.
+
+All words go through their bytes. Proposals come at the rate of a peak, as `benchmarks.fleet_size` has it."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from collections import Counter, defaultdict
+from typing import Any
+
+from benchmarks.fleet_size import ASSUMPTIONS, TARGET
+from chutepin.agree.codec import encode
+from chutepin.lab.claims import broken
+from chutepin.lab.faults import Schedule
+from chutepin.lab.quorum import Simulator
+
+from .request import quantile
+from .tools import Measured, Table
+
+OBSERVERS = (50, 100, 200, 400, 800)
+VOTERS = 3
+SECONDS, FROM = 30.0, 10.0  # simulated; what comes before is not counted
+SETS_IN_ASKS = 2 / 3  # the simulated askers read as well
+SEEDS = (1, 2)
+MOST_HEARD = 0.9  # of the members must show an entry for its spread to count
+UNITS = {
+    "leader_words_per_s": "words a second",
+    "leader_bytes_per_s": "bytes a second",
+    "leader_cpu_ms_per_s": "ms of a core a second",
+    "observer_bytes_per_s": "bytes a second",
+    "observer_cpu_ms_per_s": "ms of a core a second",
+    "feeder_bytes_per_s": "bytes a second",
+    "spread_p99_s": "s",
+}
+
+
+class Metered(Simulator):
+    """A simulator that keeps what each member says and spends."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.said: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
+        self.cpu_s: defaultdict[str, float] = defaultdict(float)
+
+    def _say(self, host: Any, to: str, word: Any) -> None:
+        if self.now > FROM:
+            self.said[host.name] += 1
+            self.sent_bytes[host.name] += len(encode(word))
+        super()._say(host, to, word)
+
+    def _tick(self, host: Any, timer: int) -> None:
+        begun = time.process_time()
+        super()._tick(host, timer)
+        self._spent(host, begun)
+
+    def _receive(self, host: Any, sender: str, word: Any) -> None:
+        begun = time.process_time()
+        super()._receive(host, sender, word)
+        self._spent(host, begun)
+
+    def _spent(self, host: Any, begun: float) -> None:
+        if self.now > FROM:
+            self.cpu_s[host.name] += time.process_time() - begun
+
+
+def _played(table: Table, observers: int, seed: int) -> None:
+    rate = ASSUMPTIONS.peak_change_factor * TARGET.config_changes_per_s
+    simulator = Metered(Schedule(observers + VOTERS, SECONDS), seed, voters=VOTERS, every=SETS_IN_ASKS / rate)
+    record = simulator.run()
+    if problems := broken(record):
+        raise RuntimeError(f"{observers} observers, seed {seed}: {sorted(problems)}")
+    leader = next(showed.member for showed in reversed(record.showed) if showed.role == "leader")
+    followers = [name for name in simulator.hosts if name not in simulator.voters]
+    over = SECONDS - FROM
+    first: dict[int, dict[str, float]] = {}
+    for showed in record.showed:
+        if showed.at > FROM:
+            first.setdefault(showed.applied, {}).setdefault(showed.member, showed.at)
+    everybody = observers + VOTERS
+    spread = [max(at.values()) - min(at.values()) for at in first.values() if len(at) > MOST_HEARD * everybody]
+    table.add(
+        observers,
+        leader_words_per_s=simulator.said[leader] / over,
+        leader_bytes_per_s=simulator.sent_bytes[leader] / over,
+        leader_cpu_ms_per_s=1000 * simulator.cpu_s[leader] / over,
+        observer_bytes_per_s=statistics.mean(simulator.sent_bytes[name] for name in followers) / over,
+        observer_cpu_ms_per_s=1000 * statistics.mean(simulator.cpu_s[name] for name in followers) / over,
+        feeder_bytes_per_s=max(simulator.sent_bytes[name] for name in followers) / over,
+        spread_p99_s=quantile(spread, 0.99),
+    )
+
+
+def run() -> Measured:
+    """The part."""
+    table = Table("observers", UNITS)
+    for seed in SEEDS:
+        for observers in OBSERVERS:
+            _played(table, observers, seed)
+    return Measured(
+        table.series(),
+        SEEDS,
+        (
+            "virtual time; links of 0.3 to 2 ms within one place, writes of 1 to 6 ms",
+            "CPU holds the simulator's work on an event of the member, and its encoding of each word",
+            "who takes in several entries at once shows only the last, so few entries count for the spread",
+        ),
+    )
--- /dev/null
+++ b/benchmarks/capacity/measure/operators.py
@@ -0,0 +1,66 @@
+"""Operators' calls: processor time and bytes of an answer, by what it tells of."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from chutepin.admin.exposition import exposition
+from chutepin.admission import Ledger
+from chutepin.cluster.subsystem import Cluster
+from chutepin.config.cluster import ClusterSetup
+from chutepin.config.platform import Address
+from chutepin.figures import Figures
+from chutepin.ops import Clock, Counters, Log
+
+from .start import record
+from .tools import Measured, Table
+
+CLASSES = (100, 400, 1_600, 6_400)
+MEMBERS = (100, 300, 900, 2_300)
+ROUNDS = 3
+REPEATS = 10
+STAT_UNITS = {"show_stat_cpu_ms": "ms of a core", "show_stat_bytes": "bytes"}
+MEMBERS_UNITS = {"members_cpu_ms": "ms of a core", "members_bytes": "bytes"}
+
+
+def _answer(call: object) -> tuple[float, int]:
+    """Milliseconds of processor time of one answer, encoded, and its bytes."""
+    assert callable(call)
+    begun = time.process_time()
+    for _ in range(REPEATS):
+        data = call().encode()
+    return 1000 * (time.process_time() - begun) / REPEATS, len(data)
+
+
+def _show_stat(table: Table, classes: int, rng: random.Random) -> None:
+    figures = Figures(f"class-{number:05d}" for number in range(classes))
+    for row in figures.rows.values():
+        row.taken = row.answered = rng.randrange(10**6)
+    spent, size = _answer(lambda: exposition(figures))
+    table.add(classes, show_stat_cpu_ms=spent, show_stat_bytes=size)
+
+
+def _members(table: Table, members: int) -> None:
+    setup = ClusterSetup("capacity", "r0", "z0", Address("127.0.0.1", 7410), members=members + 1)
+    cluster = Cluster(setup, "node-me", 1, Ledger(64, {}), Counters(), Log(Clock()), None)
+    for number in range(members):
+        cluster._detector.view.table.put(0.0, record(number))
+    spent, size = _answer(cluster.calls()["members"])
+    table.add(members, members_cpu_ms=spent, members_bytes=size)
+
+
+def run() -> Measured:
+    """The part."""
+    rng = random.Random(1)
+    stat, members = Table("classes", STAT_UNITS), Table("members", MEMBERS_UNITS)
+    for _ in range(ROUNDS):
+        for size in CLASSES:
+            _show_stat(stat, size, rng)
+        for size in MEMBERS:
+            _members(members, size)
+    return Measured(
+        stat.series() + members.series(),
+        (1,),
+        ("the answer made and encoded in one process, without the socket that carries it",),
+    )
--- /dev/null
+++ b/benchmarks/capacity/measure/settings_probe.py
@@ -0,0 +1,45 @@
+"""One fresh process: parse a file of settings, build the module, tick it. Prints a JSON object.
+
+python -O -m benchmarks.capacity.measure.settings_probe FILE"""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import sys
+import time
+from pathlib import Path
+
+from poststall.logic import Policy
+from poststall.wire import parse_settings
+
+from .tools import resident_bytes
+
+CONTROLS = 5  # looks at the backlog that are timed
+CONTROL_EVERY_S = 0.1001  # the module looks at most ten times a second
+
+
+def main(path: Path) -> dict[str, float]:
+    """Bytes and milliseconds of processor time."""
+    gc.collect()
+    before, begun = resident_bytes(os.getpid()), time.process_time()
+    policy = Policy(parse_settings(json.loads(path.read_bytes())), seed=1)
+    policy.start(now=0.0)
+    built = time.process_time()
+    gc.collect()
+    held = resident_bytes(os.getpid()) - before
+    ticking = time.process_time()
+    for number in range(1, CONTROLS + 1):
+        policy.handle(number * CONTROL_EVERY_S, [])
+    ticked = time.process_time()
+    return {
+        "memory_bytes": held,
+        "build_cpu_ms": 1000 * (built - begun),
+        "control_cpu_ms": 1000 * (ticked - ticking) / CONTROLS,
+        "file_bytes": path.stat().st_size,
+    }
+
+
+if __name__ == "__main__":
+    print(json.dumps(main(Path(sys.argv[1]))))
--- /dev/null
+++ b/benchmarks/capacity/measure/tenants.py
@@ -0,0 +1,62 @@
+"""Tenants in memory: settings and decision module with so many tenants, in a fresh process each."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from typing import Any
+
+from chutepin.lab.standins import EXAMPLE
+
+from .tools import Measured, Table, in_fresh_process
+
+SIZES = (2_000, 8_000, 32_000, 128_000)
+ROUNDS = 2
+PROBE = "benchmarks.capacity.measure.settings_probe"
+CONTROLS_PER_S = 10  # the module's looks at the backlog while requests run
+UNITS = {
+    "memory_bytes": "bytes",
+    "build_cpu_ms": "ms of a core",
+    "control_cpu_ms_per_s": "ms of a core a second",
+    "file_bytes": "bytes",
+}
+
+
+def settings(kind: str, count: int) -> dict[str, Any]:
+    """The example's settings with so many tenants or classes."""
+    made: dict[str, Any] = json.loads(json.dumps(EXAMPLE["settings"]))
+    if kind == "tenants":
+        made["tenants"] = [
+            {"name": f"tenant-{number:06d}", "share": 1 / count, "quotaPerS": 2.7} for number in range(count)
+        ]
+    else:
+        first = made["categories"][0]
+        made["categories"] = [{**first, "name": f"class-{number:05d}"} for number in range(count)]
+        info = made["familyInfo"]
+        info["classCalls"], info["degradedWorth"] = [False] * count, [0.0] * count
+    return made
+
+
+def probed(kind: str, sizes: tuple[int, ...]) -> Measured:
+    """Series over settings of these sizes."""
+    table = Table(kind, UNITS)
+    for _ in range(ROUNDS):
+        for size in sizes:
+            with tempfile.NamedTemporaryFile("w") as file:
+                json.dump(settings(kind, size), file)
+                file.flush()
+                values = in_fresh_process(PROBE, file.name)
+            control = values.pop("control_cpu_ms")
+            table.add(size, control_cpu_ms_per_s=CONTROLS_PER_S * control, **values)
+    return Measured(
+        table.series(),
+        notes=(
+            "settings parsed from their JSON, module built; without requests",
+            "control: the module's look at the backlog, ten times a second while requests run or wait",
+        ),
+    )
+
+
+def run() -> Measured:
+    """The part."""
+    return probed("tenants", SIZES)
--- /dev/null
+++ b/benchmarks/capacity/slopes.py
@@ -0,0 +1,84 @@
+"""Least-squares fits of measured series and their extrapolation, with errors."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from .results import Series
+
+LEAST_SIZES = 4
+LEAST_FACTOR = 8.0  # between the largest and the smallest size
+
+
+class TooFewSizesError(ValueError):
+    """A series from which no slope may be taken; the message says why."""
+
+
+class Model(Enum):
+    """What a value is taken to be linear in."""
+
+    LINEAR = "size"
+    LOGARITHMIC = "log2 size"
+
+
+_SCALES: dict[Model, Callable[[float], float]] = {Model.LINEAR: float, Model.LOGARITHMIC: math.log2}
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """A value with its standard error."""
+
+    value: float
+    error: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """value = intercept + slope * scale(size), fitted by least squares."""
+
+    model: Model
+    intercept: float
+    slope: Estimate
+    sizes: tuple[float, ...]
+    _residual: float  # standard deviation of the points about the line
+    _count: int
+    _mean: float  # of the scaled sizes
+    _spread: float  # sum of squares of the scaled sizes about their mean
+
+    def at(self, size: float) -> Estimate:
+        """The value that the line gives at a size, and the standard error of the line there."""
+        x = _SCALES[self.model](size)
+        error = self._residual * math.sqrt(1 / self._count + (x - self._mean) ** 2 / self._spread)
+        return Estimate(self.intercept + self.slope.value * x, error)
+
+
+def fit(series: Series, model: Model = Model.LINEAR) -> Fit:
+    """Fit a series. Raises TooFewSizesError for under four sizes, or under a factor of 8 between them."""
+    sizes = series.sizes
+    if len(sizes) < LEAST_SIZES:
+        raise TooFewSizesError(f"{series.name}: {len(sizes)} sizes, {LEAST_SIZES} are needed")
+    if sizes[0] <= 0 or sizes[-1] / sizes[0] < LEAST_FACTOR:
+        raise TooFewSizesError(f"{series.name}: sizes over less than a factor of {LEAST_FACTOR:.0f}")
+    scale = _SCALES[model]
+    xs = [scale(point.size) for point in series.points]
+    ys = [point.value for point in series.points]
+    count = len(xs)
+    mean_x, mean_y = sum(xs) / count, sum(ys) / count
+    spread = sum((x - mean_x) ** 2 for x in xs)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys, strict=True)) / spread
+    intercept = mean_y - slope * mean_x
+    squares = sum((y - intercept - slope * x) ** 2 for x, y in zip(xs, ys, strict=True))
+    residual = math.sqrt(squares / (count - 2))
+    return Fit(
+        model,
+        intercept,
+        Estimate(slope, residual / math.sqrt(spread)),
+        tuple(sizes),
+        residual,
+        count,
+        mean_x,
+        spread,
+    )
--- /dev/null
+++ b/benchmarks/fleet_size.py
@@ -0,0 +1,130 @@
+"""The fleet that the design must carry within two years, as the operators state it (issue 27).
+
+This is the only place where these numbers are written; `docs/CAPACITY.md` is generated from it. `ASSUMPTIONS` holds
+what the statement leaves open and the capacity page needs, each with its reason."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, fields
+from typing import TypeVar
+
+SECONDS_PER_DAY = 86_400
+MILLISECONDS_PER_SECOND = 1000.0
+MEGABYTE = 10**6  # bytes: the stricter reading
+KILOBYTE = 10**3  # bytes
+
+
+_Number = TypeVar("_Number", int, float)
+
+
+@dataclass(frozen=True, slots=True)
+class Stated:
+    """One field with the words that the page shows for it."""
+
+    name: str
+    label: str
+    value: float
+
+
+def stated(value: _Number, label: str) -> _Number:
+    """A field with the words that the page shows for it, unit included."""
+    made: _Number = field(default=value, metadata={"label": label})
+    return made
+
+
+def rows(of: FleetSize | Assumptions) -> list[Stated]:
+    """All fields, in order."""
+    return [Stated(one.name, one.metadata["label"], getattr(of, one.name)) for one in fields(of)]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """The stated size of the fleet and the limits it must keep."""
+
+    nodes: int = stated(2_300, "nodes")
+    callers: int = stated(200_000, "callers")
+    services: int = stated(4_900, "services")
+    requests_per_s: float = stated(2_100_000.0, "requests a second at the peak, the whole fleet")
+    routes: int = stated(63_000, "routes")
+    tenants: int = stated(780_000, "tenants")
+    added_p99_ms: float = stated(3.2, "ms added to a request, for 99 in 100")
+    regions: int = stated(9, "regions")
+    zones: int = stated(22, "zones")
+    config_changes_per_day: int = stated(31_000, "changes of configuration a day")
+    config_in_force_s: float = stated(12.0, "s until a change is in force everywhere")
+    control_cpu_percent: float = stated(3.1, "% of a core that a node may spend on control")
+    control_memory_mb: float = stated(128.0, "MB of a node for control")
+    control_kb_per_s: float = stated(4.0, "KB a second that a node may send for control")
+    control_machines: int = stated(23, "machines set aside for control")
+    control_machines_lost: int = stated(2, "of these lost at once")
+    failures_per_day: int = stated(240, "machines that fail on an ordinary day")
+    restarts_per_day: int = stated(68_000, "restarted or replaced a day")
+
+    @property
+    def requests_per_node_per_s(self) -> float:
+        """The peak, spread evenly."""
+        return self.requests_per_s / self.nodes
+
+    @property
+    def nodes_per_zone(self) -> float:
+        """Nodes of one zone, spread evenly."""
+        return self.nodes / self.zones
+
+    @property
+    def nodes_without_a_zone(self) -> float:
+        """Nodes left when one zone is lost."""
+        return self.nodes - self.nodes_per_zone
+
+    @property
+    def requests_per_node_per_s_without_a_zone(self) -> float:
+        """The peak on the nodes that are left when one zone is lost."""
+        return self.requests_per_s / self.nodes_without_a_zone
+
+    @property
+    def restarts_per_s(self) -> float:
+        """Restarts and replacements in the whole fleet, spread over the day."""
+        return self.restarts_per_day / SECONDS_PER_DAY
+
+    @property
+    def config_changes_per_s(self) -> float:
+        """Changes of configuration, spread over the day."""
+        return self.config_changes_per_day / SECONDS_PER_DAY
+
+    @property
+    def control_cpu_ms_per_s(self) -> float:
+        """What a node may spend on control, in milliseconds of a core a second."""
+        return self.control_cpu_percent / 100 * MILLISECONDS_PER_SECOND
+
+    @property
+    def control_memory_bytes(self) -> float:
+        """What a node may hold for control."""
+        return self.control_memory_mb * MEGABYTE
+
+    @property
+    def control_bytes_per_s(self) -> float:
+        """What a node may send for control."""
+        return self.control_kb_per_s * KILOBYTE
+
+    @property
+    def callers_per_node(self) -> float:
+        """Callers, spread evenly."""
+        return self.callers / self.nodes
+
+
+@dataclass(frozen=True, slots=True)
+class Assumptions:
+    """What the operators' statement leaves open. A changed assumption changes the page, so they stand apart."""
+
+    request_core_ms_per_s: float = stated(1000.0, "ms of a core a second for requests: one thread runs them")
+    connections_per_caller: int = stated(1, "connections of a caller, to one node each; one that spreads holds more")
+    keyed_share: float = stated(0.15, "part of the requests with a key to remember: the demo's mix")
+    key_window_s: float = stated(44.118, "s for which a key is remembered: deploy/example.json")
+    node_memory_mb: float = stated(192.0, "MB that a node may hold: deploy/example.json")
+    scrape_every_s: float = stated(15.0, "s between scrapes (`show-stat`) of a node")
+    members_call_every_s: float = stated(60.0, "s between calls of `members` to a node")
+    peak_change_factor: float = stated(10.0, "times the day's mean: changes of configuration at the peak")
+    peak_restart_factor: float = stated(10.0, "times the day's mean: restarts in a wave")
+
+
+TARGET = FleetSize()
+ASSUMPTIONS = Assumptions()
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,244 @@
+"""The capacity page: fits, verdicts, and that the page is what the kept results give."""
+
+from __future__ import annotations
+
+import json
+import math
+import random
+from pathlib import Path
+
+import pytest
+
+from benchmarks.capacity import __main__ as command
+from benchmarks.capacity.assess import assess
+from benchmarks.capacity.bounds import most_members
+from benchmarks.capacity.measure import PARTS, member
+from benchmarks.capacity.model import Aspect, Bound, Condition, Demand, Limit, Load, Role
+from benchmarks.capacity.page import PAGE, differs, render
+from benchmarks.capacity.results import Point, Result, ResultError, Run, Series, load, save
+from benchmarks.capacity.roles import ROLES
+from benchmarks.capacity.slopes import Estimate, Model, TooFewSizesError, fit
+from benchmarks.capacity.verdicts import NOT_MEASURED, Verdict, judge, worst
+from benchmarks.fleet_size import ASSUMPTIONS, TARGET, rows
+
+RUN = Run("python -m made.up", (1,), "abc1234", "2026-12-02", True, "3.11.7")
+LIMIT = Limit(100.0, "ms/s", "made up")
+LOADS = {Condition.ORDINARY: Load(50.0), Condition.PEAK: Load(400.0)}
+DEMAND = Demand(Aspect.PROCESSOR, "CPU", "made.cpu", LIMIT, LOADS, "a faster one")
+ROLE = Role("a role", "a mechanism", (DEMAND,))
+
+
+def series(sizes: tuple[float, ...], slope: float = 0.5, name: str = "cpu") -> Series:
+    return Series(name, "things", "ms/s", tuple(Point(size, slope * size) for size in sizes))
+
+
+def results(one: Series) -> dict[str, Result]:
+    return {"made": Result("made", RUN, (one,))}
+
+
+# --- the page ---
+
+
+def test_the_page_is_what_the_kept_results_give() -> None:
+    assert not differs(render(load())), "run python -m benchmarks.capacity"
+
+
+def test_a_page_that_was_edited_is_found(tmp_path: Path) -> None:
+    edited = tmp_path / "CAPACITY.md"
+    edited.write_text(PAGE.read_text() + "1 ms\n")
+    assert differs(render(load()), edited)
+    assert differs(render(load()), tmp_path / "none.md")
+
+
+def test_the_check_writes_nothing_and_fails_in_one_line(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert command.main(["--check"]) == 0
+    monkeypatch.setattr(command, "load", lambda: results(series((10.0, 20.0, 40.0, 80.0))))
+    before = PAGE.read_text()
+    assert command.main(["--check"]) == command.FAILED
+    assert capsys.readouterr().err.count("\n") == 1
+    assert PAGE.read_text() == before
+
+
+@pytest.mark.parametrize("words", [["nothing"], ["--fast"], ["--check", "start"], ["start", "nothing"]])
+def test_bad_arguments_are_one_line(words: list[str], capsys: pytest.CaptureFixture[str]) -> None:
+    assert command.main(words) == command.MISUSED
+    captured = capsys.readouterr()
+    assert captured.err.startswith("capacity: ") and captured.err.count("\n") == 1
+    assert captured.out == ""
+
+
+def test_without_results_every_slope_says_not_measured() -> None:
+    text = render({})
+    table = text.split("## Slopes")[1].split("##")[0].strip().splitlines()[2:]
+    assert len(table) >= len(PARTS)
+    assert all("*not measured*" in line for line in table)
+    quantities = text.split("## Quantities")[1].split("##")[0]
+    assert "holds by" not in quantities
+
+
+def test_a_role_with_a_gap_names_it_beside_its_verdict() -> None:
+    text = render(results(series((10.0, 20.0, 40.0, 80.0))), [ROLE])
+    row = next(line for line in text.splitlines() if line.startswith("| a role | "))
+    cells = [cell.strip() for cell in row.split("|")]
+    assert "*holds by \N{MULTIPLICATION SIGN}4.00*; *not measured*: state, messages, memory, delay" in cells
+    assert cells[-2] == "*not measured*"
+
+
+def test_what_breaks_is_the_last_table_by_factor() -> None:
+    last = render(load()).split("## What breaks")
+    assert len(last) == 2 and "##" not in last[1]
+    factors = [
+        float(line.split("\N{MULTIPLICATION SIGN}")[1].split("*")[0].replace(",", ""))
+        for line in last[1].splitlines()
+        if line.startswith("| *breaks")
+    ]
+    assert factors and factors == sorted(factors, reverse=True)
+    assert all(factor >= 1 for factor in factors)
+
+
+def test_every_role_of_the_issue_has_one_row() -> None:
+    table = render({}).split("## Roles")[1].split("## Quantities")[0]
+    for role in ROLES:
+        assert table.count(f"| {role.name} | ") == 1
+
+
+def test_the_target_stands_on_the_page_as_it_is_stated() -> None:
+    text = render({})
+    for stated in (*rows(TARGET), *rows(ASSUMPTIONS)):
+        assert f"| {stated.label} | " in text
+
+
+# --- kept results ---
+
+
+def test_a_result_is_read_as_it_was_written(tmp_path: Path) -> None:
+    kept = results(series((10.0, 20.0, 40.0, 80.0)))["made"]
+    save(kept, tmp_path)
+    assert load(tmp_path) == {"made": kept}
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"part": "made", "run": {}, "series": []}'])
+def test_a_file_that_is_no_result_is_named(text: str, tmp_path: Path) -> None:
+    (tmp_path / "made.json").write_text(text)
+    with pytest.raises(ResultError, match=r"made\.json"):
+        load(tmp_path)
+
+
+def test_kept_results_are_those_of_parts_and_name_their_run() -> None:
+    for part, result in load().items():
+        assert part in PARTS and result.part == part
+        assert result.run.command == f"python -m benchmarks.capacity {part}"
+        assert result.run.commit and result.run.date
+
+
+def test_every_demand_names_a_part() -> None:
+    for role in ROLES:
+        for demand in role.demands:
+            assert demand.series.partition(".")[0] in PARTS
+
+
+# --- fits ---
+
+
+def test_a_fit_finds_a_known_slope_within_its_error() -> None:
+    rng = random.Random(1)
+    sizes = [100.0, 200.0, 400.0, 800.0, 1600.0]
+    points = tuple(Point(size, 7.0 + 0.25 * size + rng.gauss(0.0, 3.0)) for size in sizes for _ in range(200))
+    found = fit(Series("made", "things", "ms", points))
+    expected = 3.0 / math.sqrt(200 * sum((size - 620.0) ** 2 for size in sizes))
+    assert found.slope.error == pytest.approx(expected, rel=0.1)
+    assert abs(found.slope.value - 0.25) < 3 * expected
+    at = found.at(2300.0)
+    assert abs(at.value - (7.0 + 0.25 * 2300.0)) < 3 * at.error
+    assert at.error > found.at(620.0).error
+
+
+def test_a_fit_by_the_logarithm_finds_its_slope() -> None:
+    points = tuple(Point(size, 1.0 + 0.5 * math.log2(size)) for size in (10.0, 20.0, 40.0, 80.0))
+    found = fit(Series("made", "things", "s", points), Model.LOGARITHMIC)
+    assert found.slope.value == pytest.approx(0.5)
+    assert found.at(2300.0).value == pytest.approx(1.0 + 0.5 * math.log2(2300.0))
+
+
+@pytest.mark.parametrize(
+    "sizes", [(10.0, 20.0, 80.0), (10.0, 10.0, 40.0, 80.0), (10.0, 20.0, 40.0, 79.0), (0.0, 1, 2, 8)]
+)
+def test_under_four_sizes_or_a_factor_of_eight_there_is_no_slope(sizes: tuple[float, ...]) -> None:
+    with pytest.raises(TooFewSizesError):
+        fit(series(sizes))
+    (assessed,) = assess(ROLE, results(series(sizes)))
+    assert not assessed.measured and assessed.refused
+    text = render(results(series(sizes)), [ROLE])
+    assert assessed.refused in text
+    assert "holds by" not in text
+
+
+# --- verdicts ---
+
+
+def test_a_verdict_is_the_distance_from_the_limit() -> None:
+    holds, breaks = judge(Estimate(25.0, 1.0), 100.0), judge(Estimate(400.0, 1.0), 100.0)
+    assert (holds.verdict, holds.factor, holds.load) == (Verdict.HOLDS, 4.0, 0.25)
+    assert (breaks.verdict, breaks.factor, breaks.load) == (Verdict.BREAKS, 4.0, 4.0)
+    assert judge(Estimate(100.0, 0.0), 100.0).verdict is Verdict.HOLDS
+    assert str(judge(Estimate(101.0, 2.0), 100.0)).endswith("(within the error)")
+    assert judge(Estimate(-1.0, 2.0), 100.0) is NOT_MEASURED
+
+
+def test_the_worst_of_several_decides() -> None:
+    low, high = judge(Estimate(10.0, 0.0), 100.0), judge(Estimate(90.0, 0.0), 100.0)
+    broken, more = judge(Estimate(200.0, 0.0), 100.0), judge(Estimate(300.0, 0.0), 100.0)
+    assert worst([low, high]) is high
+    assert worst([broken, more, low]) is more
+    assert worst([low, NOT_MEASURED]) is NOT_MEASURED
+    assert worst([]) is NOT_MEASURED
+
+
+def test_each_condition_is_judged_at_its_own_load() -> None:
+    (assessed,) = assess(ROLE, results(series((10.0, 20.0, 40.0, 80.0))))
+    assert assessed.cells[Condition.ORDINARY].judgement.factor == pytest.approx(4.0)
+    assert assessed.cells[Condition.PEAK].judgement.verdict is Verdict.BREAKS
+    assert assessed.cells[Condition.PEAK].judgement.factor == pytest.approx(2.0)
+    assert assessed.cells[Condition.BAD].judgement is NOT_MEASURED
+    assert assessed.when == [Condition.PEAK]
+
+
+def test_a_bound_in_the_code_is_judged_without_a_measurement() -> None:
+    bound = Bound(Aspect.STATE, "names", 300.0, Limit(100.0, "names", "made up"), "more room")
+    (assessed,) = assess(Role("a role", "a mechanism", bounds=(bound,)), {})
+    assert all(cell.judgement.factor == 3.0 for cell in assessed.cells.values())
+
+
+# --- parts ---
+
+
+def test_the_largest_table_of_members_is_found_in_the_settings() -> None:
+    assert most_members() >= 1024
+
+
+def test_runs_of_lab_scale_become_series(tmp_path: Path) -> None:
+    for members in (100, 200):
+        run = {
+            "members": members,
+            "sent_bytes_per_s": {"mean": 10.0 * members, "p99": 1.0},
+            "crash_known_s": {"median": 2.0, "p99": 3.0},
+            "memory_mb": None,
+            "seed": 7,
+        }
+        (tmp_path / f"{members}.json").write_text(json.dumps(run))
+    measured = member.read(tmp_path)
+    found = {one.name: one.points for one in measured.series}
+    assert found["sent_bytes_per_s"] == (Point(100.0, 1000.0), Point(200.0, 2000.0))
+    assert found["crash_known_p99_s"][0] == Point(100.0, 3.0)
+    assert "memory_bytes" not in found
+    assert measured.seeds == (7,)
+
+
+def test_a_file_that_is_no_run_of_lab_scale_is_named(tmp_path: Path) -> None:
+    with pytest.raises(ResultError):
+        member.read(tmp_path)
+    (tmp_path / "100.json").write_text("{}")
+    with pytest.raises(ResultError, match=r"100\.json"):
+        member.read(tmp_path)
