Capacity: member series from lab scale, with bad hours and 99th parts; waits for a processor kept

Cause: the memory that lab scale tells is the simulator's; the p99 of requests holds the machine's other work. Change: scenarios as series of their own, memory of real runs only; run-queue wait beside CPU.

--- a/benchmarks/capacity/measure/member.py
+++ b/benchmarks/capacity/measure/member.py
@@ -1,26 +1,32 @@
-"""A member: reads what `python -m chutepin lab scale --json` wrote, one file for each size, and keeps it as a result.
+"""A member: reads what `python -m chutepin lab scale --out benchmarks/results/member` wrote, one file for each size.
 
-The files stand in `benchmarks/results/member/`; what they hold was measured by the commands that they name."""
+Series of a scenario other than steady restarts carry its name before theirs (`zone_lost_sent_bytes_per_s`)."""
 
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 from benchmarks.fleet_size import MEGABYTE
+from chutepin.lab.scale.workload import Scenario
 
 from ..results import RESULTS, ResultError
 from .tools import Measured, Table
 
 FILES = RESULTS / "member"
-UNITS = {
+STEADY = Scenario.CHURN.value
+REAL = "real"  # the mode in which the memory told is that of members, not of a simulator
+QUANTITIES = {
     "sent_bytes_per_s": "bytes a second",
+    "sent_p99_bytes_per_s": "bytes a second",
     "received_bytes_per_s": "bytes a second",
     "cpu_ms_per_s": "ms of a core a second",
+    "cpu_p99_ms_per_s": "ms of a core a second",
     "memory_bytes": "bytes",
     "crash_known_p99_s": "s",
-    "false_deaths": "members",
+    "views_equal_s": "s",
 }
 
 
@@ -33,40 +39,65 @@
 
 def values_of(raw: dict[str, Any]) -> dict[str, float]:
     """The quantities of one run; what it does not tell is left out."""
-    memory = _number(raw, "memory_mb")
+    memory = _number(raw, "memory_mb") if raw.get("mode") == REAL else None
     found = {
         "sent_bytes_per_s": _number(raw, "sent_bytes_per_s", "mean"),
+        "sent_p99_bytes_per_s": _number(raw, "sent_bytes_per_s", "p99"),
         "received_bytes_per_s": _number(raw, "received_bytes_per_s", "mean"),
         "cpu_ms_per_s": _number(raw, "cpu_ms_per_s", "mean"),
+        "cpu_p99_ms_per_s": _number(raw, "cpu_ms_per_s", "p99"),
         "memory_bytes": None if memory is None else memory * MEGABYTE,
         "crash_known_p99_s": _number(raw, "crash_known_s", "p99"),
-        "false_deaths": _number(raw, "false_deaths"),
+        "views_equal_s": _number(raw, "views_equal_s"),
     }
     return {name: value for name, value in found.items() if value is not None}
 
 
-def read(directory: Path) -> Measured:
-    """All files of a directory. Raises ResultError."""
-    table = Table("members", UNITS)
-    seeds: set[int] = set()
+def prefix(raw: dict[str, Any]) -> str:
+    """What stands before the names of a run's series."""
+    scenario = str(raw.get("scenario", STEADY))
+    return "" if scenario == STEADY else scenario.replace("-", "_") + "_"
+
+
+def _runs(directory: Path) -> Iterator[dict[str, Any]]:
     for path in sorted(directory.glob("*.json")):
         try:
             raw = json.loads(path.read_text())
-            table.add(float(raw["members"]), **values_of(raw))
+            for run in raw if isinstance(raw, list) else [raw]:
+                float(run["members"])
+                yield run
         except (OSError, ValueError, KeyError, TypeError) as error:
             raise ResultError(f"{path.name}: not a run of `lab scale`: {error}") from None
-        if isinstance(raw.get("seed"), int):
-            seeds.add(raw["seed"])
-    series = table.series()
-    if not series:
-        raise ResultError("benchmarks/results/member: no runs of `lab scale`")
-    return Measured(
-        series,
-        tuple(sorted(seeds)),
-        ("the simulator: virtual time, one process; restarts at the fleet's rate for each member",),
+
+
+def _notes(runs: list[dict[str, Any]]) -> tuple[str, ...]:
+    commits = ", ".join(sorted({str(run.get("commit")) for run in runs}))
+    rates = ", ".join(sorted({f"{run.get('restarts_per_s'):.3g}" for run in runs if run.get("restarts_per_s")}))
+    seconds = ", ".join(sorted({f"{run.get('seconds'):g}" for run in runs if run.get("seconds")}))
+    deaths = sum(int(run.get("false_deaths") or 0) for run in runs)
+    unequal = sum("views_equal_s" in run and run["views_equal_s"] is None for run in runs)
+    return (
+        f"{len(runs)} runs of `lab scale` at commit {commits}, {seconds} s each, {rates} restarts a second in all at "
+        "every size",
+        "mode " + ", ".join(sorted({str(run.get("mode")) for run in runs})),
+        f"live members declared dead: {deaths}; runs whose views were not equal in the end: {unequal}",
+        "the few crashes of a run give few times until they are known; CPU holds the coding of frames, not the sockets",
     )
 
 
+def read(directory: Path) -> Measured:
+    """All files of a directory. Raises ResultError."""
+    runs = list(_runs(directory))
+    if not runs:
+        raise ResultError("benchmarks/results/member: no runs of `lab scale`")
+    units = {prefix(run) + name: unit for run in runs for name, unit in QUANTITIES.items()}
+    table = Table("members", units)
+    for run in runs:
+        table.add(run["members"], **{prefix(run) + name: value for name, value in values_of(run).items()})
+    seeds = {run["seed"] for run in runs if isinstance(run.get("seed"), int)}
+    return Measured(table.series(), tuple(sorted(seeds)), _notes(runs))
+
+
 def run() -> Measured:
     """The part."""
     return read(FILES)
--- a/benchmarks/capacity/measure/request.py
+++ b/benchmarks/capacity/measure/request.py
@@ -16,11 +16,11 @@
 from chutepin.net.lines import LineParser, line
 from chutepin.net.resp import RespParser, array
 
-from .tools import Measured, Table, cpu_ms, node, pid
+from .tools import Measured, Scheduled, Table, node, pid, scheduled
 
 RATES = (50, 100, 200, 400, 800)  # requests a second
 SECONDS = 6.0
-ROUNDS = 2
+ROUNDS = 4
 SEED = 1
 CLASS = "position-push"  # it makes no call below
 TEAM = "bernard-lodge"
@@ -29,6 +29,7 @@
 READ_BYTES = 65_536
 UNITS = {
     "cpu_ms_per_s": "ms of a core a second",
+    "waited_ms_per_s": "ms a second",
     "direct_p99_ms": "ms",
     "node_p99_ms": "ms",
     "added_p99_ms": "ms",
@@ -151,19 +152,19 @@
         return link.took
 
 
-async def through_node(rate: float, rng: random.Random) -> tuple[float, ThroughNode]:
-    """The node's CPU, ms a second, without what it takes at rest; and the link with its times."""
+async def through_node(rate: float, rng: random.Random) -> tuple[Scheduled, ThroughNode]:
+    """What the node had of the processors in each second, and the link with its times."""
     async with AsyncExitStack() as stack:
         world = await node(stack)
         link = ThroughNode(*await asyncio.open_connection("127.0.0.1", world.port))
         await offer(link.ask, rate, 1.0, rng)  # warm
         link.took.clear()
         link.asked = link.served = 0
-        before, begun = cpu_ms(pid(world)), time.perf_counter()
+        before, begun = scheduled(pid(world)), time.perf_counter()
         await offer(link.ask, rate, SECONDS, rng)
-        used = (cpu_ms(pid(world)) - before) / (time.perf_counter() - begun)
+        after, took = scheduled(pid(world)), time.perf_counter() - begun
         await link.close()
-        return used, link
+        return Scheduled((after.cpu_ms - before.cpu_ms) / took, (after.waited_ms - before.waited_ms) / took), link
 
 
 async def measured() -> Measured:
@@ -177,7 +178,8 @@
             direct_p99, node_p99 = quantile(direct, 0.99), quantile(link.took, 0.99)
             table.add(
                 rate,
-                cpu_ms_per_s=used,
+                cpu_ms_per_s=used.cpu_ms,
+                waited_ms_per_s=used.waited_ms,
                 direct_p99_ms=direct_p99,
                 node_p99_ms=node_p99,
                 added_p99_ms=node_p99 - direct_p99,
@@ -190,6 +192,7 @@
             "one class without keys or calls below, 32-byte bodies, one caller's connection",
             "the executor's stand-in answers at once and shares a process and an event loop with the generator",
             "the added time is the difference of two 99th parts, not the 99th part of differences",
+            "on a shared machine the 99th part holds what the node waited for a processor (`waited_ms_per_s`)",
             "the block `cluster`, `agree` and `store` are off",
         ),
     )
--- a/benchmarks/capacity/measure/tools.py
+++ b/benchmarks/capacity/measure/tools.py
@@ -53,10 +53,18 @@
         return tuple(Series(name, self.size, self.units[name], tuple(points)) for name, points in self._points.items())
 
 
-def cpu_ms(pid: int) -> float:
-    """Milliseconds on a processor of all threads of a process, to the nanosecond."""
-    tasks = Path(f"/proc/{pid}/task").iterdir()
-    return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks) / 1e6
+@dataclass(frozen=True, slots=True)
+class Scheduled:
+    """What the kernel's scheduler gave to a process since its start."""
+
+    cpu_ms: float  # on a processor
+    waited_ms: float  # ready to run, while other work had the processors
+
+
+def scheduled(pid: int) -> Scheduled:
+    """All threads of a process."""
+    words = [(task / "schedstat").read_text().split() for task in Path(f"/proc/{pid}/task").iterdir()]
+    return Scheduled(sum(int(word[0]) for word in words) / 1e6, sum(int(word[1]) for word in words) / 1e6)
 
 
 def resident_bytes(pid: int) -> int:
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -11,6 +11,7 @@
 
 from .bounds import most_members
 from .model import Aspect, Bound, Condition, Demand, Limit, Load, Role
+from .slopes import Model
 
 ORDINARY, PEAK, BAD = Condition.ORDINARY, Condition.PEAK, Condition.BAD
 WAVE = ASSUMPTIONS.peak_restart_factor
@@ -86,41 +87,79 @@
     ),
 )
 
+MEMBER_LOADS = {ORDINARY: Load(TARGET.nodes), PEAK: Load(TARGET.nodes)}
+ZONE_LOST_LOADS = {BAD: Load(TARGET.nodes)}
+SMALLER_MEMBERSHIP = "membership by zone, or exchanges of differences in place of whole states"
+
 MEMBER = Role(
     "a member",
     "`cluster/`: SWIM with Lifeguard's changes; every member knows every other; whole states where views differ",
     (
         Demand(
             Aspect.MESSAGES,
-            "bytes sent",
+            "bytes sent, mean",
             "member.sent_bytes_per_s",
             CONTROL_BYTES,
-            {ORDINARY: Load(TARGET.nodes), PEAK: Load(TARGET.nodes)},
-            "membership by zone, or exchanges of differences in place of whole states",
+            MEMBER_LOADS,
+            SMALLER_MEMBERSHIP,
+        ),
+        Demand(
+            Aspect.MESSAGES,
+            "bytes sent, 99 in 100",
+            "member.sent_p99_bytes_per_s",
+            CONTROL_BYTES,
+            MEMBER_LOADS,
+            SMALLER_MEMBERSHIP,
+        ),
+        Demand(
+            Aspect.MESSAGES,
+            "bytes sent, mean, a zone lost",
+            "member.zone_lost_sent_bytes_per_s",
+            CONTROL_BYTES,
+            ZONE_LOST_LOADS,
+            SMALLER_MEMBERSHIP,
         ),
         Demand(
             Aspect.PROCESSOR,
-            "CPU",
+            "CPU, mean",
             "member.cpu_ms_per_s",
             CONTROL_CPU,
-            {ORDINARY: Load(TARGET.nodes), PEAK: Load(TARGET.nodes)},
-            "membership by zone",
+            MEMBER_LOADS,
+            SMALLER_MEMBERSHIP,
+        ),
+        Demand(
+            Aspect.PROCESSOR,
+            "CPU, mean, a zone lost",
+            "member.zone_lost_cpu_ms_per_s",
+            CONTROL_CPU,
+            ZONE_LOST_LOADS,
+            SMALLER_MEMBERSHIP,
         ),
         Demand(
             Aspect.MEMORY,
             "of the process",
             "member.memory_bytes",
             CONTROL_MEMORY,
-            {ORDINARY: Load(TARGET.nodes), PEAK: Load(TARGET.nodes)},
-            "membership by zone",
+            MEMBER_LOADS,
+            SMALLER_MEMBERSHIP,
         ),
         Demand(
             Aspect.DELAY,
             "a crash is known to all (p99)",
             "member.crash_known_p99_s",
             IN_FORCE,
-            {ORDINARY: Load(TARGET.nodes), PEAK: Load(TARGET.nodes)},
+            MEMBER_LOADS,
             "faster spreading",
+            Model.LOGARITHMIC,
+        ),
+        Demand(
+            Aspect.DELAY,
+            "a zone lost is known to all (p99)",
+            "member.zone_lost_crash_known_p99_s",
+            IN_FORCE,
+            ZONE_LOST_LOADS,
+            "faster spreading",
+            Model.LOGARITHMIC,
         ),
     ),
     (
@@ -132,7 +171,10 @@
             "a larger table of members, or membership by zone",
         ),
     ),
-    open=("a zone lost, regions apart and a wave of restarts at several sizes",),
+    open=(
+        "regions apart and a wave of restarts, at several sizes",
+        "what an ordinary day's rate of restarts is at the peak: the same is taken",
+    ),
 )
 
 RATE_OF_CHANGES = ASSUMPTIONS.peak_change_factor
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -224,15 +224,19 @@
             "members": members,
             "sent_bytes_per_s": {"mean": 10.0 * members, "p99": 1.0},
             "crash_known_s": {"median": 2.0, "p99": 3.0},
-            "memory_mb": None,
+            "memory_mb": 35.0,
+            "mode": "simulator",
             "seed": 7,
         }
+        lost = {**run, "scenario": "zone-lost", "sent_bytes_per_s": {"mean": 1.0 * members, "p99": 1.0}}
+        (tmp_path / f"lost-{members}.json").write_text(json.dumps([lost]))
         (tmp_path / f"{members}.json").write_text(json.dumps(run))
     measured = member.read(tmp_path)
     found = {one.name: one.points for one in measured.series}
     assert found["sent_bytes_per_s"] == (Point(100.0, 1000.0), Point(200.0, 2000.0))
     assert found["crash_known_p99_s"][0] == Point(100.0, 3.0)
-    assert "memory_bytes" not in found
+    assert found["zone_lost_sent_bytes_per_s"] == (Point(100.0, 100.0), Point(200.0, 200.0))
+    assert "memory_bytes" not in found  # that of a simulator, not of a member
     assert measured.seeds == (7,)
 
 
