Capacity: log, changes by size, starts and operators' calls measured; charts from kept results

Cause: the first page knew tenants, classes and connections only. Measured: docs/CAPACITY.md, as generated.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -1,4 +1,5 @@
-"""`python -m benchmarks.capacity [--check] [--alone] [PART …]`: measure parts, then render `docs/CAPACITY.md`.
+"""`python -m benchmarks.capacity [--check] [--alone] [--charts] [PART …]`: measure parts, then render
+`docs/CAPACITY.md`, with `--charts` also the charts it shows.
 
 Without a part nothing is measured. `--check` writes nothing and fails if the page is not what would be written."""
 
@@ -7,11 +8,13 @@
 import sys
 from dataclasses import dataclass
 
+from .drawing import draw
 from .measure import PARTS, measure
 from .page import COMMAND, PAGE, differs, render
 from .results import ResultError, load, save
 
 FAILED, MISUSED = 1, 2
+OPTIONS = ("--check", "--alone", "--charts")
 
 
 class UsageError(ValueError):
@@ -25,19 +28,21 @@
     parts: tuple[str, ...]
     check: bool
     alone: bool  # the machine runs nothing else
+    charts: bool  # draw them anew
 
 
 def parse(words: list[str]) -> Arguments:
     """Raises UsageError."""
     options = {word for word in words if word.startswith("-")}
     parts = tuple(word for word in words if not word.startswith("-"))
-    if unknown := sorted(options - {"--check", "--alone"}):
-        raise UsageError(f"unknown option {unknown[0]}; there are --check, --alone")
+    if unknown := sorted(options - set(OPTIONS)):
+        raise UsageError(f"unknown option {unknown[0]}; there are {', '.join(OPTIONS)}")
     if unknown := [part for part in parts if part not in PARTS]:
         raise UsageError(f"unknown part {unknown[0]}; there are {', '.join(PARTS)}")
-    if parts and "--check" in options:
-        raise UsageError("--check measures nothing: name no parts")
-    return Arguments(parts, "--check" in options, "--alone" in options)
+    check = "--check" in options
+    if check and (parts or "--charts" in options):
+        raise UsageError("--check writes nothing: name neither parts nor --charts")
+    return Arguments(parts, check, "--alone" in options, "--charts" in options)
 
 
 def main(words: list[str]) -> int:
@@ -47,13 +52,16 @@
         for part in arguments.parts:
             print(part, flush=True)
             save(measure(part, shared=not arguments.alone))
-        text = render(load())
+        results = load()
+        text = render(results)
     except (UsageError, ResultError) as error:
         print(f"capacity: {error}", file=sys.stderr)
         return MISUSED if isinstance(error, UsageError) else FAILED
     if arguments.check:
         return _checked(text)
     PAGE.write_text(text)
+    if arguments.charts:
+        draw(results)
     return 0
 
 
--- a/benchmarks/capacity/assess.py
+++ b/benchmarks/capacity/assess.py
@@ -43,6 +43,12 @@
         """Under one condition at least."""
         return any(cell.estimate is not None for cell in self.cells.values())
 
+    @property
+    def disturbed(self) -> bool:
+        """Other work on the machine may have made it greater."""
+        shared = self.result is not None and self.result.run.machine_shared
+        return shared and isinstance(self.of, Demand) and self.of.wall_time
+
     @property
     def when(self) -> list[Condition]:
         """The conditions under which it breaks."""
--- a/benchmarks/capacity/measure/log.py
+++ b/benchmarks/capacity/measure/log.py
@@ -4,16 +4,18 @@
 
 from __future__ import annotations
 
-import statistics
+import itertools
 import time
 from collections import Counter, defaultdict
+from dataclasses import dataclass
 from typing import Any
 
 from benchmarks.fleet_size import ASSUMPTIONS, TARGET
 from chutepin.agree.codec import encode
-from chutepin.lab.claims import broken
+from chutepin.agree.core import Times
+from chutepin.lab.claims import Record, broken
 from chutepin.lab.faults import Schedule
-from chutepin.lab.quorum import Simulator
+from chutepin.lab.quorum import TIMES, Simulator
 
 from .request import quantile
 from .tools import Measured, Table
@@ -21,6 +23,7 @@
 OBSERVERS = (50, 100, 200, 400, 800)
 VOTERS = 3
 SECONDS, FROM = 30.0, 10.0  # simulated; what comes before is not counted
+COUNTED = SECONDS - FROM
 SETS_IN_ASKS = 2 / 3  # the simulated askers read as well
 SEEDS = (1, 2)
 MOST_HEARD = 0.9  # of the members must show an entry for its spread to count
@@ -64,32 +67,61 @@
         if self.now > FROM:
             self.cpu_s[host.name] += time.process_time() - begun
 
+    def spending(self, names: list[str]) -> Spending:
+        """The mean of these members."""
+        share = COUNTED * len(names)
+        return Spending(
+            sum(self.said[name] for name in names) / share,
+            sum(self.sent_bytes[name] for name in names) / share,
+            1000 * sum(self.cpu_s[name] for name in names) / share,
+        )
 
-def _played(table: Table, observers: int, seed: int) -> None:
+
+@dataclass(frozen=True, slots=True)
+class Spending:
+    """Of one member, or the mean of several."""
+
+    words_per_s: float
+    bytes_per_s: float
+    cpu_ms_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """What came of one run."""
+
+    leader: Spending
+    observers: Spending  # the mean
+    most_bytes_per_s: float  # of the observer that sends most
+    spread_s: list[float]  # of each entry: from the first member that shows it to the last
+
+
+def played(observers: int, seed: int, *, times: Times = TIMES, values: itertools.count[int] | None = None) -> Played:
+    """One run. `values`: numbers that are set. Raises RuntimeError if a claim of the log was broken."""
     rate = ASSUMPTIONS.peak_change_factor * TARGET.config_changes_per_s
-    simulator = Metered(Schedule(observers + VOTERS, SECONDS), seed, voters=VOTERS, every=SETS_IN_ASKS / rate)
+    schedule = Schedule(observers + VOTERS, SECONDS)
+    simulator = Metered(schedule, seed, voters=VOTERS, every=SETS_IN_ASKS / rate, times=times)
+    if values is not None:
+        simulator._values = values
     record = simulator.run()
     if problems := broken(record):
         raise RuntimeError(f"{observers} observers, seed {seed}: {sorted(problems)}")
     leader = next(showed.member for showed in reversed(record.showed) if showed.role == "leader")
     followers = [name for name in simulator.hosts if name not in simulator.voters]
-    over = SECONDS - FROM
+    return Played(
+        simulator.spending([leader]),
+        simulator.spending(followers),
+        max(simulator.sent_bytes[name] for name in followers) / COUNTED,
+        _spread(record, observers + VOTERS),
+    )
+
+
+def _spread(record: Record, members: int) -> list[float]:
     first: dict[int, dict[str, float]] = {}
     for showed in record.showed:
         if showed.at > FROM:
             first.setdefault(showed.applied, {}).setdefault(showed.member, showed.at)
-    everybody = observers + VOTERS
-    spread = [max(at.values()) - min(at.values()) for at in first.values() if len(at) > MOST_HEARD * everybody]
-    table.add(
-        observers,
-        leader_words_per_s=simulator.said[leader] / over,
-        leader_bytes_per_s=simulator.sent_bytes[leader] / over,
-        leader_cpu_ms_per_s=1000 * simulator.cpu_s[leader] / over,
-        observer_bytes_per_s=statistics.mean(simulator.sent_bytes[name] for name in followers) / over,
-        observer_cpu_ms_per_s=1000 * statistics.mean(simulator.cpu_s[name] for name in followers) / over,
-        feeder_bytes_per_s=max(simulator.sent_bytes[name] for name in followers) / over,
-        spread_p99_s=quantile(spread, 0.99),
-    )
+    return [max(at.values()) - min(at.values()) for at in first.values() if len(at) > MOST_HEARD * members]
 
 
 def run() -> Measured:
@@ -97,11 +129,23 @@
     table = Table("observers", UNITS)
     for seed in SEEDS:
         for observers in OBSERVERS:
-            _played(table, observers, seed)
+            found = played(observers, seed)
+            table.add(
+                observers,
+                leader_words_per_s=found.leader.words_per_s,
+                leader_bytes_per_s=found.leader.bytes_per_s,
+                leader_cpu_ms_per_s=found.leader.cpu_ms_per_s,
+                observer_bytes_per_s=found.observers.bytes_per_s,
+                observer_cpu_ms_per_s=found.observers.cpu_ms_per_s,
+                feeder_bytes_per_s=found.most_bytes_per_s,
+                spread_p99_s=quantile(found.spread_s, 0.99),
+            )
     return Measured(
         table.series(),
         SEEDS,
         (
+            "changes come at the rate of a peak, also where the page tells of an ordinary day",
+            "changes of some 5 bytes: see the run `changes` for their size",
             "virtual time; links of 0.3 to 2 ms within one place, writes of 1 to 6 ms",
             "CPU holds the simulator's work on an event of the member, and its encoding of each word",
             "who takes in several entries at once shows only the last, so few entries count for the spread",
--- a/benchmarks/capacity/model.py
+++ b/benchmarks/capacity/model.py
@@ -55,6 +55,7 @@
     loads: Mapping[Condition, Load]
     missing: str  # the mechanism that would have to carry it, where it breaks
     model: Model = Model.LINEAR
+    wall_time: bool = False  # other work on the machine makes it greater
 
 
 @dataclass(frozen=True, slots=True)
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -8,6 +8,7 @@
 from benchmarks.fleet_size import ASSUMPTIONS, TARGET, Assumptions, FleetSize, rows
 
 from .assess import Assessed, Cell, assess
+from .drawing import drawable
 from .model import Aspect, Bound, Condition, Demand, Limit, Role
 from .numbers import estimate, short, whole
 from .results import ROOT, Result
@@ -17,6 +18,7 @@
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 NONE = "—"
+DISTURBED = ", on a shared machine"
 COMMAND = "python -m benchmarks.capacity"
 
 
@@ -60,6 +62,8 @@
             "",
             *_slopes(every),
             "",
+            *(f"![{chart.title}](charts/{chart.file})" for chart in drawable(results)),
+            "",
             "## Runs",
             "",
             *_runs(results),
@@ -162,11 +166,13 @@
 
 
 def _told(one: Assessed, cell: Cell) -> str:
-    return str(NOT_MEASURED) if cell.estimate is None else f"{_value(one, cell)}: {cell.judgement}"
+    if cell.estimate is None:
+        return str(NOT_MEASURED)
+    return f"{_value(one, cell)}: {cell.judgement}{DISTURBED if one.disturbed else ''}"
 
 
 def _slopes(every: list[Assessed]) -> list[str]:
-    head = ["series", "varied", "sizes", "unit", "at zero", "slope, one more of what is varied", "target", "run"]
+    head = ["series", "varied", "sizes", "unit", "linear in", "at zero", "slope", "target", "run"]
     lines: dict[str, list[str]] = {}
     for one in every:
         if isinstance(one.of, Demand):
@@ -177,12 +183,14 @@
 def _slope(one: Assessed, demand: Demand) -> list[str]:
     name = f"`{demand.series}`"
     if one.fit is None or one.result is None:
-        return [name, *[NONE] * 5, one.refused or str(NOT_MEASURED), NONE]
+        return [name, *[NONE] * 6, one.refused or str(NOT_MEASURED), NONE]
     series = next(series for series in one.result.series if f"{one.result.part}.{series.name}" == demand.series)
     sizes = ", ".join(whole(size) for size in series.sizes)
     slope = f"{short(one.fit.slope.value)} ± {short(one.fit.slope.error)}"
     target = ", ".join(dict.fromkeys(whole(round(load.size)) for load in demand.loads.values()))
-    return [name, series.size, sizes, series.unit, short(one.fit.intercept), slope, target, _run_name(one.result)]
+    at_zero = short(one.fit.intercept)
+    model = one.fit.model.value
+    return [name, series.size, sizes, series.unit, model, at_zero, slope, target, _run_name(one.result)]
 
 
 def _run_name(result: Result) -> str:
@@ -245,7 +253,7 @@
     limit = one.of.limit
     when = "always" if isinstance(one.of, Bound) else ", ".join(condition.value for condition in one.when)
     return [
-        str(judgement),
+        f"{judgement}{DISTURBED if one.disturbed else ''}",
         one.role.name,
         one.of.quantity,
         _value(one, one.worst),
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -61,6 +61,7 @@
             ADDED,
             REQUEST_LOADS,
             "a request path that does not queue behind one loop at the peak",
+            wall_time=True,
         ),
         Demand(
             Aspect.MEMORY,
@@ -179,6 +180,7 @@
 
 RATE_OF_CHANGES = ASSUMPTIONS.peak_change_factor
 OBSERVER_LOADS = {ORDINARY: Load(TARGET.nodes), PEAK: Load(TARGET.nodes)}
+CHANGE_LOADS = {PEAK: Load(ASSUMPTIONS.change_bytes)}
 LOG_ENTRIES = TARGET.tenants + TARGET.routes
 
 VOTER = Role(
@@ -201,6 +203,14 @@
             OBSERVER_LOADS,
             "a leader on a control machine, with a limit of its own",
         ),
+        Demand(
+            Aspect.MESSAGES,
+            "bytes that the leader sends, by the size of a change",
+            "changes.leader_bytes_per_s",
+            CONTROL_BYTES,
+            CHANGE_LOADS,
+            "a leader on a control machine, with a limit of its own",
+        ),
         Demand(
             Aspect.PROCESSOR,
             "CPU of the leader",
@@ -245,6 +255,14 @@
             OBSERVER_LOADS,
             "a tree with a bound on how many ask one",
         ),
+        Demand(
+            Aspect.MESSAGES,
+            "bytes sent by the one that feeds most, by the size of a change",
+            "changes.feeder_bytes_per_s",
+            CONTROL_BYTES,
+            CHANGE_LOADS,
+            "a tree with a bound on how many ask one; changes sent to those alone that they concern",
+        ),
         Demand(
             Aspect.PROCESSOR,
             "CPU, mean",
--- a/benchmarks/fleet_size.py
+++ b/benchmarks/fleet_size.py
@@ -122,6 +122,7 @@
     node_memory_mb: float = stated(192.0, "MB that a node may hold: deploy/example.json")
     scrape_every_s: float = stated(15.0, "s between scrapes (`show-stat`) of a node")
     members_call_every_s: float = stated(60.0, "s between calls of `members` to a node")
+    change_bytes: int = stated(256, "bytes of a change of configuration")
     peak_change_factor: float = stated(10.0, "times the day's mean: changes of configuration at the peak")
     peak_restart_factor: float = stated(10.0, "times the day's mean: restarts in a wave")
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,6 +5,7 @@
 import json
 import math
 import random
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -12,6 +13,7 @@
 from benchmarks.capacity import __main__ as command
 from benchmarks.capacity.assess import assess
 from benchmarks.capacity.bounds import most_members
+from benchmarks.capacity.drawing import CHARTS, draw, drawable
 from benchmarks.capacity.measure import PARTS, member
 from benchmarks.capacity.model import Aspect, Bound, Condition, Demand, Limit, Load, Role
 from benchmarks.capacity.page import PAGE, differs, render
@@ -61,7 +63,9 @@
     assert PAGE.read_text() == before
 
 
-@pytest.mark.parametrize("words", [["nothing"], ["--fast"], ["--check", "start"], ["start", "nothing"]])
+@pytest.mark.parametrize(
+    "words", [["nothing"], ["--fast"], ["--check", "--charts"], ["--check", "start"], ["start", "nothing"]]
+)
 def test_bad_arguments_are_one_line(words: list[str], capsys: pytest.CaptureFixture[str]) -> None:
     assert command.main(words) == command.MISUSED
     captured = capsys.readouterr()
@@ -98,6 +102,15 @@
     assert all(factor >= 1 for factor in factors)
 
 
+@pytest.mark.parametrize("shared", [True, False])
+def test_a_time_taken_on_a_shared_machine_says_so(shared: bool) -> None:
+    late = Demand(Aspect.DELAY, "p99", "made.cpu", LIMIT, {Condition.PEAK: Load(400.0)}, "a faster one", wall_time=True)
+    kept = Result("made", replace(RUN, machine_shared=shared), (series((10.0, 20.0, 40.0, 80.0)),))
+    last = render({"made": kept}, [Role("a role", "a mechanism", (late,))]).split("## What breaks")[1]
+    assert "*breaks by \N{MULTIPLICATION SIGN}2.00*" in last
+    assert ("on a shared machine" in last) == shared
+
+
 def test_every_role_of_the_issue_has_one_row() -> None:
     table = render({}).split("## Roles")[1].split("## Quantities")[0]
     for role in ROLES:
@@ -110,6 +123,14 @@
         assert f"| {stated.label} | " in text
 
 
+def test_charts_that_the_page_shows_are_kept_and_can_be_drawn(tmp_path: Path) -> None:
+    shown = drawable(load())
+    assert shown
+    assert all((CHARTS / chart.file).exists() for chart in shown)
+    draw(load(), tmp_path)
+    assert sorted(path.name for path in tmp_path.iterdir()) == sorted(chart.file for chart in shown)
+
+
 # --- kept results ---
 
 
