Capacity: no verdict where the limit lies within the error; the deciding quantity is named

Cause: the added p99 of requests, taken on a shared machine, has an error many times its value, and still said 'holds'. Change: such a cell says not measured well enough; a role's verdict names the quantity that decides. A wave of restarts and a zone lost stand as bad hours of a member.

--- a/benchmarks/capacity/assess.py
+++ b/benchmarks/capacity/assess.py
@@ -18,6 +18,11 @@
     estimate: Estimate | None
     judgement: Judgement
 
+    @property
+    def decided(self) -> bool:
+        """It holds or breaks."""
+        return self.judgement.verdict is not Verdict.NOT_MEASURED
+
 
 UNKNOWN = Cell(None, NOT_MEASURED)
 
@@ -40,8 +45,8 @@
 
     @property
     def measured(self) -> bool:
-        """Under one condition at least."""
-        return any(cell.estimate is not None for cell in self.cells.values())
+        """Under one condition at least, so well that it holds or breaks."""
+        return any(cell.decided for cell in self.cells.values())
 
     @property
     def disturbed(self) -> bool:
@@ -86,4 +91,4 @@
     at = line.at(load.size)
     estimate = Estimate(at.value * load.times, at.error * load.times)
     judgement = judge(estimate, demand.limit.value)
-    return UNKNOWN if judgement.verdict is Verdict.NOT_MEASURED else Cell(estimate, judgement)
+    return UNKNOWN if judgement is NOT_MEASURED else Cell(estimate, judgement)
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -14,7 +14,7 @@
 from .results import ROOT, Result
 from .roles import ROLES
 from .slopes import LEAST_FACTOR, LEAST_SIZES
-from .verdicts import NOT_MEASURED, Judgement, Verdict, worst
+from .verdicts import NOT_MEASURED, Judgement, Verdict
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 NONE = "—"
@@ -38,7 +38,9 @@
             "what follows ± is a",
             "standard error, of the line alone: it does not say whether the line stays one beyond the sizes measured.",
             "A cell without a kept result says *not measured*. The factor is between the value at the target and its",
-            "limit. Within a role and a condition the worst quantity decides.",
+            "limit; where the limit lies within one standard error, there is no verdict. Within a role and a condition",
+            "the worst quantity decides, and is named. Each quantity is held against the whole of its limit: that",
+            "several share what a node may spend on control is not judged.",
             "",
             "## The target",
             "",
@@ -133,18 +135,26 @@
 
 
 def _condition(role: Role, condition: Condition, ones: list[Assessed]) -> str:
-    known = [one.cells[condition].judgement for one in ones if one.cells[condition].estimate is not None]
-    if not known:
+    decided = [one for one in ones if one.cells[condition].decided]
+    if not decided:
         return str(NOT_MEASURED)
-    text = str(worst(known))
-    unknown = sorted(_unknown_aspects(role, condition, ones), key=list(Aspect).index)
-    return text + (f"; *not measured*: {', '.join(aspect.value for aspect in unknown)}" if unknown else "")
+    deciding = max(decided, key=lambda one: one.cells[condition].judgement.load)
+    text = f"{deciding.cells[condition].judgement} ({deciding.of.quantity})"
+    unknown = [aspect.value for aspect in Aspect if _unknown(role, aspect, condition, ones)]
+    return text + (f"; *not measured*: {', '.join(unknown)}" if unknown else "")
 
 
-def _unknown_aspects(role: Role, condition: Condition, ones: list[Assessed]) -> set[Aspect]:
-    bare = {one.of.aspect for one in ones if one.cells[condition].estimate is None}
-    absent = set(Aspect) - set(role.without) - {one.of.aspect for one in ones}
-    return bare | absent
+def _unknown(role: Role, aspect: Aspect, condition: Condition, ones: list[Assessed]) -> bool:
+    """Whether something of the aspect is not known under the condition, though it is for some condition to be."""
+    if _absent(role, aspect, ones):
+        return True
+    own = [one for one in ones if one.of.aspect is aspect and _asks(one, condition)]
+    others = [one for one in ones if one.of.aspect is aspect]
+    return any(not one.cells[condition].decided for one in own) or (bool(others) and not own)
+
+
+def _asks(one: Assessed, condition: Condition) -> bool:
+    return isinstance(one.of, Bound) or condition in one.of.loads
 
 
 # --- quantities and slopes ---
@@ -234,11 +244,11 @@
 
 
 def _partly(one: Assessed) -> bool:
-    return one.measured and any(cell.estimate is None for cell in one.cells.values())
+    return one.measured and not all(cell.decided for cell in one.cells.values())
 
 
 def _missing_conditions(one: Assessed) -> str:
-    return ", ".join(condition.value for condition, cell in one.cells.items() if cell.estimate is None)
+    return ", ".join(condition.value for condition, cell in one.cells.items() if not cell.decided)
 
 
 def _breaks(every: list[Assessed]) -> list[str]:
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -4,6 +4,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from benchmarks.fleet_size import ASSUMPTIONS, MEGABYTE, TARGET
 from chutepin.agree.facts import MAX_NAMES
 from chutepin.agree.replica import MAX_STATE
@@ -89,59 +91,37 @@
 )
 
 MEMBER_LOADS = {ORDINARY: Load(TARGET.nodes), PEAK: Load(TARGET.nodes)}
-ZONE_LOST_LOADS = {BAD: Load(TARGET.nodes)}
+BAD_HOUR_LOADS = {BAD: Load(TARGET.nodes)}
 SMALLER_MEMBERSHIP = "membership by zone, or exchanges of differences in place of whole states"
 
+
+def _member_costs(scenario: str, words: str, loads: Mapping[Condition, Load]) -> tuple[Demand, ...]:
+    """Bytes and CPU of a member under a scenario of `lab scale`; `scenario` stands before the names of its series."""
+    costs = (
+        (Aspect.MESSAGES, "bytes sent, mean", "sent_bytes_per_s", CONTROL_BYTES),
+        (Aspect.MESSAGES, "bytes sent, 99 in 100", "sent_p99_bytes_per_s", CONTROL_BYTES),
+        (Aspect.PROCESSOR, "CPU, mean", "cpu_ms_per_s", CONTROL_CPU),
+        (Aspect.PROCESSOR, "CPU, 99 in 100", "cpu_p99_ms_per_s", CONTROL_CPU),
+    )
+    return tuple(
+        Demand(aspect, quantity + words, f"member.{scenario}{series}", limit, loads, SMALLER_MEMBERSHIP)
+        for aspect, quantity, series, limit in costs
+    )
+
+
 MEMBER = Role(
     "a member",
     "`cluster/`: SWIM with Lifeguard's changes; every member knows every other; whole states where views differ",
     (
-        Demand(
-            Aspect.MESSAGES,
-            "bytes sent, mean",
-            "member.sent_bytes_per_s",
-            CONTROL_BYTES,
-            MEMBER_LOADS,
-            SMALLER_MEMBERSHIP,
-        ),
-        Demand(
-            Aspect.MESSAGES,
-            "bytes sent, 99 in 100",
-            "member.sent_p99_bytes_per_s",
-            CONTROL_BYTES,
-            MEMBER_LOADS,
-            SMALLER_MEMBERSHIP,
-        ),
-        Demand(
-            Aspect.MESSAGES,
-            "bytes sent, mean, a zone lost",
-            "member.zone_lost_sent_bytes_per_s",
-            CONTROL_BYTES,
-            ZONE_LOST_LOADS,
-            SMALLER_MEMBERSHIP,
-        ),
-        Demand(
-            Aspect.PROCESSOR,
-            "CPU, mean",
-            "member.cpu_ms_per_s",
-            CONTROL_CPU,
-            MEMBER_LOADS,
-            SMALLER_MEMBERSHIP,
-        ),
-        Demand(
-            Aspect.PROCESSOR,
-            "CPU, mean, a zone lost",
-            "member.zone_lost_cpu_ms_per_s",
-            CONTROL_CPU,
-            ZONE_LOST_LOADS,
-            SMALLER_MEMBERSHIP,
-        ),
+        *_member_costs("", "", MEMBER_LOADS),
+        *_member_costs("zone_lost_", ", a zone lost", BAD_HOUR_LOADS),
+        *_member_costs("restart_wave_", ", a wave of restarts", BAD_HOUR_LOADS),
         Demand(
             Aspect.MEMORY,
             "of the process",
             "member.memory_bytes",
             CONTROL_MEMORY,
-            MEMBER_LOADS,
+            {**MEMBER_LOADS, **BAD_HOUR_LOADS},
             SMALLER_MEMBERSHIP,
         ),
         Demand(
@@ -158,7 +138,7 @@
             "a zone lost is known to all (p99)",
             "member.zone_lost_crash_known_p99_s",
             IN_FORCE,
-            ZONE_LOST_LOADS,
+            BAD_HOUR_LOADS,
             "faster spreading",
             Model.LOGARITHMIC,
         ),
@@ -173,7 +153,7 @@
         ),
     ),
     open=(
-        "regions apart and a wave of restarts, at several sizes",
+        "regions apart, at several sizes",
         "what an ordinary day's rate of restarts is at the peak: the same is taken",
     ),
 )
@@ -383,7 +363,7 @@
         ),
         Demand(
             Aspect.PROCESSOR,
-            "reading all tenants again for each change",
+            "reading all tenants again for each change, as a restart does",
             "tenants.build_cpu_ms",
             CONTROL_CPU,
             {
--- a/benchmarks/capacity/verdicts.py
+++ b/benchmarks/capacity/verdicts.py
@@ -3,61 +3,57 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import IntEnum
+from enum import Enum
 
 from .slopes import Estimate
 
 TIMES = "\N{MULTIPLICATION SIGN}"
 
 
-class Verdict(IntEnum):
-    """Of several, the greatest counts for all."""
+class Verdict(Enum):
+    """What a limit says of a value."""
 
-    HOLDS = 0
-    NOT_MEASURED = 1
-    BREAKS = 2
+    HOLDS = "holds"
+    BREAKS = "breaks"
+    NOT_MEASURED = "not measured"
 
 
 @dataclass(frozen=True, slots=True)
 class Judgement:
-    """A verdict; `factor` is how far the value is from the limit, at least 1. Without a measurement it is 0."""
+    """A verdict; `factor` is how far the value is from the limit, at least 1. Without a verdict it is 0."""
 
     verdict: Verdict
     factor: float = 0.0
-    within_error: bool = False  # the limit lies within one standard error of the value
+    within_error: bool = False  # measured, but the limit lies within one standard error of the value
 
     @property
     def load(self) -> float:
-        """The value as a multiple of the limit; 0 where nothing was measured."""
+        """The value as a multiple of the limit; 0 where that is not known."""
         if self.verdict is Verdict.NOT_MEASURED:
             return 0.0
         return self.factor if self.verdict is Verdict.BREAKS else 1 / self.factor
 
     def __str__(self) -> str:
+        if self.within_error:
+            return "*not measured* well enough: the limit is within the error"
         if self.verdict is Verdict.NOT_MEASURED:
             return "*not measured*"
-        text = f"*{self.verdict.name.lower()} by {TIMES}{_short(self.factor)}*"
-        return text + " (within the error)" if self.within_error else text
+        return f"*{self.verdict.value} by {TIMES}{_short(self.factor)}*"
 
 
 NOT_MEASURED = Judgement(Verdict.NOT_MEASURED)
+UNDECIDED = Judgement(Verdict.NOT_MEASURED, within_error=True)
 
 
 def judge(estimate: Estimate, limit: float) -> Judgement:
     """Compare an estimate with the most that it may be."""
-    within = abs(estimate.value - limit) <= estimate.error
+    if estimate.error and abs(estimate.value - limit) <= estimate.error:
+        return UNDECIDED
     if estimate.value > limit:
-        return Judgement(Verdict.BREAKS, estimate.value / limit, within)
+        return Judgement(Verdict.BREAKS, estimate.value / limit)
     if estimate.value <= 0:
         return NOT_MEASURED  # a line that falls below zero says nothing there
-    return Judgement(Verdict.HOLDS, limit / estimate.value, within)
-
-
-def worst(judgements: list[Judgement]) -> Judgement:
-    """What decides: the greatest load over its limit; else what is not measured; else the least room."""
-    if not judgements:
-        return NOT_MEASURED
-    return max(judgements, key=lambda judgement: (judgement.verdict, judgement.load))
+    return Judgement(Verdict.HOLDS, limit / estimate.value)
 
 
 def _short(factor: float) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -20,7 +20,7 @@
 from benchmarks.capacity.results import Point, Result, ResultError, Run, Series, load, save
 from benchmarks.capacity.roles import ROLES
 from benchmarks.capacity.slopes import Estimate, Model, TooFewSizesError, fit
-from benchmarks.capacity.verdicts import NOT_MEASURED, Verdict, judge, worst
+from benchmarks.capacity.verdicts import NOT_MEASURED, UNDECIDED, Verdict, judge
 from benchmarks.fleet_size import ASSUMPTIONS, TARGET, rows
 
 RUN = Run("python -m made.up", (1,), "abc1234", "2026-12-02", True, "3.11.7")
@@ -86,7 +86,7 @@
     text = render(results(series((10.0, 20.0, 40.0, 80.0))), [ROLE])
     row = next(line for line in text.splitlines() if line.startswith("| a role | "))
     cells = [cell.strip() for cell in row.split("|")]
-    assert "*holds by \N{MULTIPLICATION SIGN}4.00*; *not measured*: state, messages, memory, delay" in cells
+    assert "*holds by \N{MULTIPLICATION SIGN}4.00* (CPU); *not measured*: state, messages, memory, delay" in cells
     assert cells[-2] == "*not measured*"
 
 
@@ -204,17 +204,20 @@
     assert (holds.verdict, holds.factor, holds.load) == (Verdict.HOLDS, 4.0, 0.25)
     assert (breaks.verdict, breaks.factor, breaks.load) == (Verdict.BREAKS, 4.0, 4.0)
     assert judge(Estimate(100.0, 0.0), 100.0).verdict is Verdict.HOLDS
-    assert str(judge(Estimate(101.0, 2.0), 100.0)).endswith("(within the error)")
+    for value in (98.5, 101.0):
+        assert judge(Estimate(value, 2.0), 100.0) is UNDECIDED
+    assert str(UNDECIDED).startswith("*not measured*")
     assert judge(Estimate(-1.0, 2.0), 100.0) is NOT_MEASURED
 
 
-def test_the_worst_of_several_decides() -> None:
-    low, high = judge(Estimate(10.0, 0.0), 100.0), judge(Estimate(90.0, 0.0), 100.0)
-    broken, more = judge(Estimate(200.0, 0.0), 100.0), judge(Estimate(300.0, 0.0), 100.0)
-    assert worst([low, high]) is high
-    assert worst([broken, more, low]) is more
-    assert worst([low, NOT_MEASURED]) is NOT_MEASURED
-    assert worst([]) is NOT_MEASURED
+def test_the_worst_of_several_decides_and_is_named() -> None:
+    one, other = (
+        replace(DEMAND, quantity=name, limit=Limit(most, "B", "-")) for name, most in (("a", 50.0), ("b", 20.0))
+    )
+    text = render(results(series((10.0, 20.0, 40.0, 80.0))), [Role("a role", "a mechanism", (one, other))])
+    row = next(line for line in text.splitlines() if line.startswith("| a role | "))
+    assert "*breaks by \N{MULTIPLICATION SIGN}1.25* (b)" in row
+    assert "*breaks by \N{MULTIPLICATION SIGN}10.0* (b)" in row
 
 
 def test_each_condition_is_judged_at_its_own_load() -> None:
