--- a/benchmarks/capacity/measure/__init__.py
+++ b/benchmarks/capacity/measure/__init__.py
@@ -11,7 +11,19 @@
 from ..results import ROOT, Result, Run
 from .tools import Measured
 
-PARTS = ("request", "connections", "keys", "tenants", "classes", "start", "operators", "log", "changes", "member")
+PARTS = (
+    "request",
+    "connections",
+    "keys",
+    "tenants",
+    "classes",
+    "start",
+    "operators",
+    "log",
+    "changes",
+    "table",
+    "member",
+)
 
 
 def measure(part: str, *, shared: bool) -> Result:
--- /dev/null
+++ b/benchmarks/capacity/measure/table.py
@@ -0,0 +1,21 @@
+"""Memory of a member for the others that it knows, in a fresh process for each size."""
+
+from __future__ import annotations
+
+from .tools import Measured, Table, in_fresh_process
+
+SIZES = (100, 300, 900, 2_300)
+ROUNDS = 3
+PROBE = "benchmarks.capacity.measure.table_probe"
+
+
+def run() -> Measured:
+    """The part."""
+    table = Table("members", {"memory_bytes": "bytes"})
+    for _ in range(ROUNDS):
+        for size in SIZES:
+            table.add(size, **in_fresh_process(PROBE, str(size)))
+    return Measured(
+        table.series(),
+        notes=("a detector's table alone, by its objects: no probes, no gossip that waits",),
+    )
--- /dev/null
+++ b/benchmarks/capacity/measure/table_probe.py
@@ -0,0 +1,34 @@
+"""One fresh process: a member's detector that knows so many others. Prints a JSON object.
+
+python -O -m benchmarks.capacity.measure.table_probe COUNT"""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+import sys
+import tracemalloc
+
+from chutepin.cluster import Detector
+from chutepin.config.cluster import ClusterSetup
+from chutepin.config.platform import Address
+
+from .start import record
+
+
+def main(count: int) -> dict[str, float]:
+    """Bytes of the objects that the others take."""
+    setup = ClusterSetup("capacity", "r0", "z0", Address("127.0.0.1", 7410), members=count + 1)
+    detector = Detector(setup, "node-me", 1, 0.0, random.Random(1))
+    gc.collect()
+    tracemalloc.start()
+    for number in range(count):
+        detector.view.table.put(0.0, record(number))
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    return {"memory_bytes": held}
+
+
+if __name__ == "__main__":
+    print(json.dumps(main(int(sys.argv[1]))))
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -118,7 +118,15 @@
         *_member_costs("restart_wave_", ", a wave of restarts", BAD_HOUR_LOADS),
         Demand(
             Aspect.MEMORY,
-            "of the process",
+            "the table of the others",
+            "table.memory_bytes",
+            CONTROL_MEMORY,
+            {**MEMBER_LOADS, **BAD_HOUR_LOADS},
+            SMALLER_MEMBERSHIP,
+        ),
+        Demand(
+            Aspect.MEMORY,
+            "the whole process",
             "member.memory_bytes",
             CONTROL_MEMORY,
             {**MEMBER_LOADS, **BAD_HOUR_LOADS},
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import math
+import os
 import random
+import time
 from dataclasses import replace
+from importlib import import_module
 from pathlib import Path
 
 import pytest
@@ -15,6 +19,9 @@
 from benchmarks.capacity.bounds import most_members
 from benchmarks.capacity.drawing import CHARTS, draw, drawable
 from benchmarks.capacity.measure import PARTS, member
+from benchmarks.capacity.measure.request import BODY, Direct, ThroughNode
+from benchmarks.capacity.measure.tenants import settings
+from benchmarks.capacity.measure.tools import scheduled
 from benchmarks.capacity.model import Aspect, Bound, Condition, Demand, Limit, Load, Role
 from benchmarks.capacity.page import PAGE, differs, render
 from benchmarks.capacity.results import Point, Result, ResultError, Run, Series, load, save
@@ -22,6 +29,9 @@
 from benchmarks.capacity.slopes import Estimate, Model, TooFewSizesError, fit
 from benchmarks.capacity.verdicts import NOT_MEASURED, UNDECIDED, Verdict, judge
 from benchmarks.fleet_size import ASSUMPTIONS, TARGET, rows
+from chutepin.net.lines import line
+from chutepin.net.resp import array
+from poststall.wire import parse_settings
 
 RUN = Run("python -m made.up", (1,), "abc1234", "2026-12-02", True, "3.11.7")
 LIMIT = Limit(100.0, "ms/s", "made up")
@@ -242,6 +252,40 @@
     assert most_members() >= 1024
 
 
+@pytest.mark.parametrize("part", PARTS)
+def test_every_part_can_be_run(part: str) -> None:
+    assert callable(import_module(f"benchmarks.capacity.measure.{part}").run)
+
+
+def test_a_process_is_told_its_processor_time() -> None:
+    before = scheduled(os.getpid())
+    begun = time.process_time()
+    while time.process_time() < begun + 0.02:
+        pass
+    assert scheduled(os.getpid()).cpu_ms - before.cpu_ms >= 15
+
+
+def test_settings_of_a_size_are_sound() -> None:
+    assert len(parse_settings(settings("tenants", 37)).tenants) == 37
+    assert len(parse_settings(settings("classes", 37)).classes) == 37
+
+
+def test_the_direct_call_and_the_node_tell_their_answers_apart() -> None:
+    async def asked() -> None:
+        server = await asyncio.start_server(lambda _reader, _writer: None, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        direct = Direct(*await asyncio.open_connection(*address))
+        through = ThroughNode(*await asyncio.open_connection(*address))
+        assert BODY in direct.request("7") and BODY in through.request("7")
+        assert direct.answers(line("EXIT", 1, "7", "complete", 200, body=b"done")) == [("7", True)]
+        assert through.answers(array(b"7", b"BUSY", b"v=1.0", b"")) == [("7", False)]
+        await direct.close()
+        await through.close()
+        server.close()
+
+    asyncio.run(asked())
+
+
 def test_runs_of_lab_scale_become_series(tmp_path: Path) -> None:
     for members in (100, 200):
         run = {
