--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -114,6 +114,14 @@
     "`cluster/`: SWIM with Lifeguard's changes; every member knows every other; whole states where views differ",
     (
         *_member_costs("", "", MEMBER_LOADS),
+        Demand(
+            Aspect.MESSAGES,
+            "of these bytes, exchanges of whole states, mean",
+            "member.sent_stream_bytes_per_s",
+            CONTROL_BYTES,
+            MEMBER_LOADS,
+            "exchanges of differences in place of whole states",
+        ),
         *_member_costs("zone_lost_", ", a zone lost", BAD_HOUR_LOADS),
         *_member_costs("restart_wave_", ", a wave of restarts", BAD_HOUR_LOADS),
         Demand(
