--- a/benchmarks/capacity/measure/keys.py
+++ b/benchmarks/capacity/measure/keys.py
@@ -12,6 +12,7 @@
 
 SIZES = (500, 1000, 2000, 4000, 8000)
 AT_ONCE = 4
+KEY_BYTES, BODY_BYTES = 16, 16
 WARM = 50  # requests before the first reading
 SEED = 1
 WINDOW_S = 600.0  # longer than the measurement: no key is forgotten meanwhile
@@ -49,7 +50,7 @@
         table.series(),
         (SEED,),
         (
-            "keys of 32 characters, results of 21 bytes; the module's own bound on the memory of keys is raised",
+            f"keys of {2 * KEY_BYTES} characters, short results; the module's bound on memory of keys is raised",
             "one process, sizes in a row",
         ),
     )
@@ -57,7 +58,8 @@
 
 async def _ask(balancer: Balancer, rng: random.Random) -> int:
     """Ask for several at once; how many were served, and so are remembered."""
-    tags = [balancer.call(CLASS, b"%016x" % rng.getrandbits(64), rng.randbytes(16).hex()) for _ in range(AT_ONCE)]
+    asked = [(rng.randbytes(BODY_BYTES), rng.randbytes(KEY_BYTES).hex()) for _ in range(AT_ONCE)]
+    tags = [balancer.call(CLASS, body, key) for body, key in asked]
     served = 0
     for tag in tags:
         words = await balancer.answer(tag)
--- a/benchmarks/capacity/measure/log.py
+++ b/benchmarks/capacity/measure/log.py
@@ -15,7 +15,7 @@
 from chutepin.agree.core import Times
 from chutepin.lab.claims import Record, broken
 from chutepin.lab.faults import Schedule
-from chutepin.lab.quorum import TIMES, Simulator
+from chutepin.lab.quorum import TIMES, WAY, WRITE, Simulator
 
 from .request import quantile
 from .tools import Measured, Table
@@ -124,6 +124,10 @@
     return [max(at.values()) - min(at.values()) for at in first.values() if len(at) > MOST_HEARD * members]
 
 
+def _ms(bounds: tuple[float, float]) -> str:
+    return f"{1000 * bounds[0]:g} to {1000 * bounds[1]:g} ms"
+
+
 def run() -> Measured:
     """The part."""
     table = Table("observers", UNITS)
@@ -145,8 +149,8 @@
         SEEDS,
         (
             "changes come at the rate of a peak, also where the page tells of an ordinary day",
-            "changes of some 5 bytes: see the run `changes` for their size",
-            "virtual time; links of 0.3 to 2 ms within one place, writes of 1 to 6 ms",
+            "changes of a few bytes: see the run `changes` for their size",
+            f"virtual time; links of {_ms(WAY)}, as within one place, writes of {_ms(WRITE)}",
             "CPU holds the simulator's work on an event of the member, and its encoding of each word",
             "who takes in several entries at once shows only the last, so few entries count for the spread",
         ),
--- a/benchmarks/capacity/measure/request.py
+++ b/benchmarks/capacity/measure/request.py
@@ -24,7 +24,7 @@
 SEED = 1
 CLASS = "position-push"  # it makes no call below
 TEAM = "bernard-lodge"
-BODY = b"x" * 32
+BODY = b"x" * 32  # bytes
 WAIT_MS = 5000
 READ_BYTES = 65_536
 UNITS = {
@@ -189,7 +189,7 @@
         table.series(),
         tuple(SEED + number for number in range(ROUNDS)),
         (
-            "one class without keys or calls below, 32-byte bodies, one caller's connection",
+            f"one class without keys or calls below, bodies of {len(BODY)} bytes, one caller's connection",
             "the executor's stand-in answers at once and shares a process and an event loop with the generator",
             "the added time is the difference of two 99th parts, not the 99th part of differences",
             "on a shared machine the 99th part holds what the node waited for a processor (`waited_ms_per_s`)",
--- a/benchmarks/capacity/measure/settings_probe.py
+++ b/benchmarks/capacity/measure/settings_probe.py
@@ -11,13 +11,13 @@
 import time
 from pathlib import Path
 
-from poststall.logic import Policy
+from poststall.logic import CONTROL_EVERY, Policy
 from poststall.wire import parse_settings
 
 from .tools import resident_bytes
 
 CONTROLS = 5  # looks at the backlog that are timed
-CONTROL_EVERY_S = 0.1001  # the module looks at most ten times a second
+STEP_S = 1.001 * CONTROL_EVERY  # so that each step is due a look
 
 
 def main(path: Path) -> dict[str, float]:
@@ -31,7 +31,7 @@
     held = resident_bytes(os.getpid()) - before
     ticking = time.process_time()
     for number in range(1, CONTROLS + 1):
-        policy.handle(number * CONTROL_EVERY_S, [])
+        policy.handle(number * STEP_S, [])
     ticked = time.process_time()
     return {
         "memory_bytes": held,
--- a/benchmarks/capacity/measure/start.py
+++ b/benchmarks/capacity/measure/start.py
@@ -12,7 +12,7 @@
 
 from chutepin.agree.facts import Facts, set_fact
 from chutepin.agree.messages import Entry, Kind, Snapshot, Voters
-from chutepin.agree.replica import Proposal, Replica, new_id, pack
+from chutepin.agree.replica import REMEMBERED, Proposal, Replica, new_id, pack
 from chutepin.cluster.frames import StreamReader, cluster_id, decode, stream_frame
 from chutepin.cluster.messages import Packet, Sync
 from chutepin.cluster.records import Record, Status
@@ -90,6 +90,6 @@
         (SEED,),
         (
             "in one process, without sockets; taking in is decoding and filling the tables",
-            "bytes of the log's state are those of its machine, without the ids of the last 2,048 proposals",
+            f"bytes of the log's state are those of its machine, without the ids of the last {REMEMBERED} proposals",
         ),
     )
--- a/benchmarks/capacity/measure/tenants.py
+++ b/benchmarks/capacity/measure/tenants.py
@@ -7,13 +7,14 @@
 from typing import Any
 
 from chutepin.lab.standins import EXAMPLE
+from poststall.logic import CONTROL_EVERY
 
 from .tools import Measured, Table, in_fresh_process
 
 SIZES = (2_000, 8_000, 32_000, 128_000)
 ROUNDS = 2
 PROBE = "benchmarks.capacity.measure.settings_probe"
-CONTROLS_PER_S = 10  # the module's looks at the backlog while requests run
+CONTROLS_PER_S = 1 / CONTROL_EVERY  # the module's looks at the backlog while requests run
 UNITS = {
     "memory_bytes": "bytes",
     "build_cpu_ms": "ms of a core",
@@ -52,7 +53,7 @@
         table.series(),
         notes=(
             "settings parsed from their JSON, module built; without requests",
-            "control: the module's look at the backlog, ten times a second while requests run or wait",
+            f"control: the module's look at the backlog, {CONTROLS_PER_S:g} times a second while requests run or wait",
         ),
     )
 
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -235,7 +235,7 @@
 
 OBSERVER = Role(
     "an observer, and those that feed others",
-    "`agree/observer.py`: each asks one member; about eight ask one",
+    "`agree/observer.py`: each asks one member, which is asked by several",
     (
         Demand(
             Aspect.MESSAGES,
@@ -369,7 +369,7 @@
             "tenants.control_cpu_ms_per_s",
             NODE_CORE,
             {condition: Load(TARGET.tenants) for condition in Condition},
-            "budgets that are counted when a tenant asks, not ten times a second for all",
+            "budgets that are counted when a tenant asks, not in every look for all",
         ),
         Demand(
             Aspect.PROCESSOR,
