--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,76 @@
+"""`python -m benchmarks.capacity [--check] [--alone] [--charts] [PART …]`: measure parts, then render
+`docs/CAPACITY.md`, with `--charts` also the charts it shows.
+
+Without a part nothing is measured. `--check` writes nothing and fails if the page is not what would be written."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+
+from .drawing import draw
+from .measure import PARTS, measure
+from .page import COMMAND, PAGE, differs, render
+from .results import ResultError, load, save
+
+FAILED, MISUSED = 1, 2
+OPTIONS = ("--check", "--alone", "--charts")
+
+
+class UsageError(ValueError):
+    """Arguments that say nothing; the message is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Arguments:
+    """What is asked for."""
+
+    parts: tuple[str, ...]
+    check: bool
+    alone: bool  # the machine runs nothing else
+    charts: bool  # draw them anew
+
+
+def parse(words: list[str]) -> Arguments:
+    """Raises UsageError."""
+    options = {word for word in words if word.startswith("-")}
+    parts = tuple(word for word in words if not word.startswith("-"))
+    if unknown := sorted(options - set(OPTIONS)):
+        raise UsageError(f"unknown option {unknown[0]}; there are {', '.join(OPTIONS)}")
+    if unknown := [part for part in parts if part not in PARTS]:
+        raise UsageError(f"unknown part {unknown[0]}; there are {', '.join(PARTS)}")
+    check = "--check" in options
+    if check and (parts or "--charts" in options):
+        raise UsageError("--check writes nothing: name neither parts nor --charts")
+    return Arguments(parts, check, "--alone" in options, "--charts" in options)
+
+
+def main(words: list[str]) -> int:
+    """Measure, render, or check; the exit code."""
+    try:
+        arguments = parse(words)
+        for part in arguments.parts:
+            print(part, flush=True)
+            save(measure(part, shared=not arguments.alone))
+        results = load()
+        text = render(results)
+    except (UsageError, ResultError) as error:
+        print(f"capacity: {error}", file=sys.stderr)
+        return MISUSED if isinstance(error, UsageError) else FAILED
+    if arguments.check:
+        return _checked(text)
+    PAGE.write_text(text)
+    if arguments.charts:
+        draw(results)
+    return 0
+
+
+def _checked(text: str) -> int:
+    if differs(text):
+        print(f"capacity: docs/CAPACITY.md is not what the kept results give; run {COMMAND}", file=sys.stderr)
+        return FAILED
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
