--- a/benchmarks/capacity/measure/operators.py
+++ b/benchmarks/capacity/measure/operators.py
@@ -8,8 +8,8 @@
 from chutepin.admin.exposition import exposition
 from chutepin.admission import Ledger
 from chutepin.cluster.subsystem import Cluster
+from chutepin.config import Address
 from chutepin.config.cluster import ClusterSetup
-from chutepin.config.platform import Address
 from chutepin.figures import Figures
 from chutepin.ops import Clock, Counters, Log
 
--- a/benchmarks/capacity/measure/table_probe.py
+++ b/benchmarks/capacity/measure/table_probe.py
@@ -11,8 +11,8 @@
 import tracemalloc
 
 from chutepin.cluster import Detector
+from chutepin.config import Address
 from chutepin.config.cluster import ClusterSetup
-from chutepin.config.platform import Address
 
 from .start import record
 
