Admission: connections being closed no longer take descriptors reserved for others

Cause: under a flood newcomers that were dropped, and connections that made room for one, hold their descriptors for some turns of the loop, and nothing counted them: eight accepts a turn times four turns. At a limit of 64 the process held all 64 (probe: four seconds of 200 idle callers that connect again), so a report, the executor's link or a call that had to connect in such a turn would have found none. Ruled out: the reporter's back-off, which is at most one period. Change: the acceptor waits while two such connections are being closed and no descriptor is free, and goes on once one is closed. New counter admission.waits. The stand-ins' control plane can refuse, be silent and come back.

--- a/chutepin/admin/listener.py
+++ b/chutepin/admin/listener.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 
-from ..admission import Acceptor, Ledger, Welcome
+from ..admission import CLOSING_AT_ONCE, Acceptor, Ledger, Welcome
 from ..ops import Counters, Log
 from .calls import Calls, failure
 from .lines import LineError, LineReader
@@ -22,9 +22,10 @@
 
     def __init__(self, calls: Calls, ledger: Ledger, counters: Counters, log: Log) -> None:
         self._calls, self._ledger, self._counters = calls, ledger, counters
-        self._acceptor = Acceptor(self, failure("busy").encode(), counters, log)
+        self._acceptor = Acceptor(self, failure("busy").encode(), counters, log, self._has_descriptor)
         self._tasks: dict[int, asyncio.Task[None]] = {}  # by number of arrival
         self._unfinished: dict[int, asyncio.Task[None]] = {}  # of these, oldest first
+        self._making_room: set[int] = set()  # cancelled, and not ended yet
         self._number = 0
 
     async def listen(self, host: str, port: int) -> None:
@@ -37,6 +38,10 @@
 
     # --- admission.Gate ---
 
+    def _has_descriptor(self, dropped: int) -> bool:
+        """One is free, or few are about to be: callers that made room hold theirs until their tasks have ended."""
+        return self._ledger.free(PART) > dropped or len(self._making_room) + dropped < CLOSING_AT_ONCE
+
     def admits(self, address: bytes, short: bool) -> Welcome:
         """There is room, or the oldest unfinished caller makes some."""
         if self._ledger.free(PART) > 0 and not short:
@@ -45,7 +50,9 @@
             self._counters.add("ops.refused")
             return Welcome.TELL
         self._counters.add("ops.made_room")
-        self._unfinished.pop(next(iter(self._unfinished))).cancel()
+        number = next(iter(self._unfinished))
+        self._making_room.add(number)
+        self._unfinished.pop(number).cancel()
         return Welcome.SERVE
 
     def serve(self, sock: socket.socket, address: bytes) -> None:
@@ -62,6 +69,7 @@
         sock.close()
         self._tasks.pop(number, None)
         self._unfinished.pop(number, None)
+        self._making_room.discard(number)
         self._ledger.give(PART)
         self._acceptor.room()
 
--- a/chutepin/admission/__init__.py
+++ b/chutepin/admission/__init__.py
@@ -5,13 +5,14 @@
 knows nothing of what is spoken on a connection. `docs/admission.md` has the design, `docs/operators/admission.md` the
 settings."""
 
-from .acceptor import Acceptor, Share, Welcome
+from .acceptor import CLOSING_AT_ONCE, Acceptor, Share, Welcome
 from .deadlines import Deadlines
 from .ledger import Ledger
 from .proxy import ProxyError, ProxyHead
 from .rules import Rank, Reason, Rules, Table, Use, Verdict
 
 __all__ = [
+    "CLOSING_AT_ONCE",
     "Acceptor",
     "Deadlines",
     "Ledger",
--- a/chutepin/admission/acceptor.py
+++ b/chutepin/admission/acceptor.py
@@ -12,6 +12,7 @@
 import errno
 import os
 import socket
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -21,6 +22,9 @@
 # In one turn of the loop. A connection needs some four turns until it is known to be dead or to speak, so up to four
 # times as many places of the table are taken by those that just came.
 ACCEPTS = 8
+# Connections that may be on their way to being closed, newcomers and those that made room, where no descriptor is
+# free for another. They come out of the ledger's margin: more would take what others have reserved there.
+CLOSING_AT_ONCE = 2
 BACKLOG = 4096  # the system caps it; a burst that overflows it waits a second for its SYN to be sent again
 AGAIN_AFTER = 0.05  # seconds after which accepting is tried again where nothing tells that it would work
 _NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
@@ -75,10 +79,20 @@
 class Acceptor:
     """One listening address."""
 
-    def __init__(self, gate: Gate, farewell: bytes, counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        gate: Gate,
+        farewell: bytes,
+        counters: Counters,
+        log: Log,
+        has_descriptor: Callable[[int], bool] = lambda dropped: dropped < CLOSING_AT_ONCE,
+    ) -> None:
+        """`has_descriptor`: whether one more may be accepted now, while so many dropped newcomers still hold theirs."""
         self._gate, self._farewell, self._counters, self._log = gate, farewell, counters, log
+        self._has_descriptor = has_descriptor
         self._sockets: list[socket.socket] = []
         self._spare = -1
+        self._dropped = 0  # newcomers that were dropped and are not closed yet
         self._halted = False
         self._paused: asyncio.TimerHandle | None = None
 
@@ -181,11 +195,11 @@
         for sock in self._sockets:
             loop.add_reader(sock, self._readable, sock)
 
-    def _rest(self) -> None:
+    def _rest(self, counter: str = "admission.rests") -> None:
         """Guards the loop against spinning on a backlog that can't be taken."""
         if self._paused is not None:
             return
-        self._counters.add("admission.rests")
+        self._counters.add(counter)
         loop = asyncio.get_running_loop()
         for sock in self._sockets:
             loop.remove_reader(sock)
@@ -203,6 +217,9 @@
 
     def _readable(self, listener: socket.socket) -> None:
         for _ in range(ACCEPTS):
+            if not self._has_descriptor(self._dropped):
+                self._rest("admission.waits")
+                return
             try:
                 sock, address = listener.accept()
             except BlockingIOError:
@@ -254,8 +271,14 @@
         elif welcome is Welcome.TELL:
             self.turn_away(sock)
         else:
+            self._dropped += 1
             loop = asyncio.get_running_loop()
-            loop.call_soon(loop.call_soon, loop.call_soon, sock.close)
+            loop.call_soon(loop.call_soon, loop.call_soon, self._drop, sock)
+
+    def _drop(self, sock: socket.socket) -> None:
+        sock.close()
+        self._dropped -= 1
+        self.room()
 
     def turn_away(self, sock: socket.socket) -> None:
         """Say the farewell and close at once. What came is read first: closing over it would reset the farewell."""
--- a/chutepin/lab/standins.py
+++ b/chutepin/lab/standins.py
@@ -10,6 +10,7 @@
 import random
 import resource
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -43,6 +44,12 @@
         self.calling = True
         self.hold: set[bytes] = set()  # bodies whose run does not end by itself
         self.record_word = "DONE"
+        self.records_address = ""  # of a records service that several nodes share, in place of this one's own
+        self.warmth, self.age_ms = "hot", 5  # of the executor, as WELCOME tells it
+        self.welcomes = True  # false: the executor accepts the link and is not up yet
+        self.control_silent = False  # the control plane accepts, reads and answers nothing
+        self._control_writers: set[asyncio.StreamWriter] = set()
+        self._control_address: socket.socket | None = None  # bound while the control plane refuses connections
         self._executor: asyncio.StreamWriter | None = None
         self._servers: list[asyncio.Server] = []
         self._waiting: dict[str, tuple[str, bytes]] = {}
@@ -54,6 +61,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.name = "n3"
         self.log: IO[bytes] | None = None  # where the program's log goes, if not to the reader of `process.stderr`
+        self.shell_command = ""  # run by /bin/sh in place of the interpreter, as a deployment does
         self._arguments: tuple[str, ...] = ()
         self.port = self.listen_port = self.ops_port = 0
         self.errors = ""
@@ -74,11 +82,11 @@
 
     async def spawn(self) -> None:
         """Start the program, also once more after its end."""
+        command = (sys.executable, "-m", "chutepin", *self._arguments)
+        if self.shell_command:
+            command = ("/bin/sh", "-c", self.shell_command)
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "chutepin",
-            *self._arguments,
+            *command,
             cwd=self.program,
             stderr=self.log or asyncio.subprocess.PIPE,
             preexec_fn=self._limit if self.descriptors else None,
@@ -106,7 +114,7 @@
                     "name": self.name,
                     "listen": f"127.0.0.1:{self.port}",
                     "executor": f"127.0.0.1:{ports[0]}",
-                    "records": f"127.0.0.1:{ports[1]}",
+                    "records": self.records_address or f"127.0.0.1:{ports[1]}",
                     "control": f"127.0.0.1:{ports[2]}",
                     "seed": "8c1f30d27a5be964",
                     "stop_ms": self.stop_ms,
@@ -165,7 +173,8 @@
             case "JOIN":
                 self.joins.append(int(words[1]))
                 self._executor = writer
-                writer.write(line("WELCOME", "hot", 5) + b"".join(self.notices[int(words[1]) :]))
+                if self.welcomes:
+                    self._welcome(int(words[1]))
             case "EXEC":
                 self.runs.append((words[1], words[2], body))
                 if body in self.hold:
@@ -187,6 +196,15 @@
             case "METER":
                 writer.write(line("METERS", words[1], "0.1", 1))
 
+    def _welcome(self, last: int) -> None:
+        assert self._executor is not None
+        self._executor.write(line("WELCOME", self.warmth, self.age_ms) + b"".join(self.notices[last:]))
+
+    def come_up(self) -> None:
+        """Send the WELCOME that was held back."""
+        self.welcomes = True
+        self._welcome(self.joins[-1])
+
     async def _records_side(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         parser = LineParser(lambda words: words[0] == "OP", 65536)
         while data := await reader.read(65536):
@@ -201,11 +219,35 @@
                     writer.write(line(words[1], self.record_word, body=reply))
 
     async def _control_side(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
-            while head := await reader.readuntil(b"\r\n\r\n"):
-                length = int(head.lower().split(b"content-length:")[1].split()[0])
-                self.reports.append(head.splitlines()[0] + b" " + await reader.readexactly(length))
-                writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        self._control_writers.add(writer)
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+                while head := await reader.readuntil(b"\r\n\r\n"):
+                    length = int(head.lower().split(b"content-length:")[1].split()[0])
+                    body = await reader.readexactly(length)
+                    if self.control_silent:
+                        continue
+                    self.reports.append(head.splitlines()[0] + b" " + body)
+                    writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        finally:
+            self._control_writers.discard(writer)
+
+    def refuse_control(self) -> None:
+        """The control plane goes down: its connections break and new ones are refused. The port stays taken."""
+        host, port = self._servers[-1].sockets[0].getsockname()
+        self._servers[-1].close()
+        for writer in self._control_writers:
+            writer.transport.abort()
+        self._control_address = socket.socket()
+        self._control_address.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._control_address.bind((host, port))
+
+    async def restore_control(self) -> None:
+        """The control plane is back, at the same address."""
+        self.control_silent = False
+        if self._control_address is not None:
+            self._servers[-1] = await asyncio.start_server(self._control_side, sock=self._control_address)
+            self._control_address = None
 
     async def connect(self) -> Balancer:
         """A balancer's connection to the node."""
--- a/chutepin/net/resp.py
+++ b/chutepin/net/resp.py
@@ -11,7 +11,20 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from ..admission import Acceptor, Deadlines, Ledger, ProxyError, ProxyHead, Reason, Rules, Share, Table, Use, Welcome
+from ..admission import (
+    CLOSING_AT_ONCE,
+    Acceptor,
+    Deadlines,
+    Ledger,
+    ProxyError,
+    ProxyHead,
+    Reason,
+    Rules,
+    Share,
+    Table,
+    Use,
+    Welcome,
+)
 from ..broker import Answer, Broker, Request, Verdict
 from ..config import Address
 from ..lifecycle import Lifecycle
@@ -326,6 +339,7 @@
         self.connections: dict[int, Connection] = {}
         self._acceptor: Acceptor | None = None
         self._links: dict[int, Link] = {}
+        self._making_room: set[int] = set()  # keys of connections that are being closed for newcomers
         self._keys = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self._deadlines = Deadlines()
@@ -400,14 +414,14 @@
 
     async def listen(self, address: Address, share: Share = Share.NONE) -> None:
         """Accept balancers on this address. Raises OSError."""
-        acceptor = Acceptor(self, BYE, self.counters, self.log)
+        acceptor = Acceptor(self, BYE, self.counters, self.log, self._has_descriptor)
         await acceptor.listen(address.host, address.port, share)
         self._acceptor = acceptor
 
     def adopt(self, sockets: list[socket.socket]) -> None:
         """Accept balancers on sockets that another process of this node listened on."""
         if self._acceptor is None:
-            self._acceptor = Acceptor(self, BYE, self.counters, self.log)
+            self._acceptor = Acceptor(self, BYE, self.counters, self.log, self._has_descriptor)
         self._acceptor.adopt(sockets)
 
     @property
@@ -427,6 +441,13 @@
         if self._acceptor is not None:
             self._acceptor.go_on()
 
+    def _has_descriptor(self, dropped: int) -> bool:
+        """One is free, or few are about to be: connections that made room hold theirs for some turns of the loop.
+
+        Guards what others have reserved: under a flood the many that are being closed would take it, and a report, the
+        executor's link or a call that has to connect just then would find no descriptor."""
+        return self.ledger.free(PART) > dropped or len(self._making_room) + dropped < CLOSING_AT_ONCE
+
     def admits(self, address: bytes, short: bool) -> Welcome:
         """The table and the ledger have room for a newcomer, or some is made.
 
@@ -467,6 +488,8 @@
         connection.closing = True  # what still comes is as unread: no answer could be written
         if link is not None:
             link.close()
+        if link is None or not link.transport.get_write_buffer_size():  # else its peer decides when it ends
+            self._making_room.add(key)
         return True
 
     def serve(self, sock: socket.socket, address: bytes) -> None:
@@ -512,6 +535,7 @@
             self.table.closed(connection.key)
             self.connections.pop(connection.key, None)
             self._deadlines.cancel(connection.key)
+            self._making_room.discard(connection.key)
             self.ledger.give(PART)
             if self._acceptor is not None:
                 self._acceptor.room()
