Acceptance: a hundred restarts as deployed, thirty at once, ready within ten seconds

Cause: the operators' acceptance holds 90 of 100 restarts ready within 10 s; no test started nodes by the deploy file's line. Change: a test on the real program: 30 nodes killed and started again at one moment, ten of them with an executor that is up only later (healthy, not ready), then the other 70 in waves; and one that shows that a late node is counted.

--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import shlex
+import sys
 import time
+import tomllib
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -14,8 +17,9 @@
 from chutepin.lab.flood import Flood
 from chutepin.lab.standins import Balancer, eventually
 from chutepin.net.control import ANSWER_BY, EVERY
+from chutepin.net.resp import array
 
-from .helper import Standins
+from .helper import ROOT, Standins
 from .test_node import on_sockets
 from .test_operation import call
 
@@ -102,3 +106,119 @@
         await client.close()
 
     on_sockets(test)
+
+
+# --- restarts are ready within ten seconds ---
+
+AT_ONCE = 30  # restarts at one moment
+RESTARTS = 100
+READY_BY = 10.0  # seconds from the start of the process
+READY_PART = 0.9
+HELD_UP = 10  # of those at once, the nodes whose executor comes up after them
+LOOK = 0.05  # seconds between looks at a node that is not ready yet
+
+
+def deployed() -> str:
+    """The deploy file's command for one node, by this interpreter."""
+    run = str(tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"])
+    assert ".venv/bin/python" in run
+    return run.replace(".venv/bin/python", shlex.quote(sys.executable))
+
+
+async def healthy(world: Standins) -> bool:
+    """The node answers a health check as good."""
+    try:
+        balancer = await world.connect()
+    except OSError:
+        return False
+    balancer.writer.write(array(b"RPC.HEALTH", b"1", b""))
+    while not balancer.ended and not balancer.answers.get(1):
+        await asyncio.sleep(LOOK / 10)
+    good = [b"UP"] in [answer[:1] for answer in balancer.answers.get(1, [])]
+    await balancer.close()
+    return good
+
+
+async def ready_after(world: Standins, by: float = READY_BY) -> float:
+    """Start the node; seconds until its health check is good, infinite if that takes longer than is allowed."""
+    begun = time.monotonic()
+    await world.spawn()
+    try:
+        async with asyncio.timeout(by):
+            while not await healthy(world):
+                await asyncio.sleep(LOOK)
+    except TimeoutError:
+        return float("inf")
+    return time.monotonic() - begun
+
+
+async def restart(world: Standins) -> float:
+    """Kill the node outright and start it again under its name and addresses; seconds until it is ready."""
+    await world.kill()
+    world.joins.clear()
+    world.notices.clear()
+    return await ready_after(world)
+
+
+def part_ready(times: list[float]) -> float:
+    """Of these restarts, the part that was ready in time."""
+    return sum(time <= READY_BY for time in times) / len(times)
+
+
+def node_as_deployed(number: int, directory: Path, stack: AsyncExitStack) -> Standins:
+    """Stand-ins for a node that is started as in a deployment, with a temporary directory of its own."""
+    world = Standins()
+    world.name, world.shell_command = f"n{number}", deployed()
+    world.log = stack.enter_context((directory / f"{number}.log").open("wb"))
+    private = directory / f"{number}"
+    private.mkdir()
+    world.environ["TMPDIR"] = str(private)
+    return world
+
+
+async def until_ready(world: Standins) -> None:
+    """The operators' call says yes: its executor is up as well."""
+    while not (await call(world, b"ready\n")).startswith("SUCCESS yes"):
+        await asyncio.sleep(LOOK)
+
+
+async def bring_up(world: Standins) -> None:
+    """The executor of a node that is healthy without it comes up."""
+    assert (await call(world, b"ready\n")).startswith("FAILURE no, starting")
+    await eventually(lambda: world.joins)
+    world.come_up()
+
+
+def test_ninety_of_a_hundred_restarts_are_ready_in_time_thirty_of_them_at_once(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            worlds = [node_as_deployed(number, tmp_path, stack) for number in range(AT_ONCE)]
+            await asyncio.gather(*(world.start(stack, ops=True) for world in worlds))
+            late = worlds[:HELD_UP]
+            for world in late:
+                world.welcomes = False
+            times = await asyncio.gather(*(restart(world) for world in worlds))
+            assert part_ready(times) >= READY_PART
+            for world in late:
+                await bring_up(world)
+            while len(times) < RESTARTS:
+                wave = worlds[: RESTARTS - len(times)]
+                times += await asyncio.gather(*(restart(world) for world in wave))
+                await asyncio.gather(*(until_ready(world) for world in wave))
+            assert part_ready(times) >= READY_PART
+            print(f"ready after: median {sorted(times)[RESTARTS // 2]:.2f} s, longest {max(times):.2f} s")
+
+    asyncio.run(run())
+
+
+def test_a_node_that_comes_up_too_late_counts_as_not_ready(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            world = node_as_deployed(0, tmp_path, stack)
+            await world.start(stack)
+            await world.kill()
+            world.shell_command = f"sleep 1; {world.shell_command}"
+            assert await ready_after(world, 0.5) == float("inf")
+            assert part_ready([0.5] * 89 + [float("inf")] * 11) < READY_PART <= part_ready([0.5] * 90 + [11.0] * 10)
+
+    asyncio.run(run())
