Acceptance: cold servers bear the sum of what 2, 20 and 30 node processes send

Cause: the operators' acceptance holds the ramp towards cold servers for the sum of all processes; only single nodes were tested. The settings name a budget in two cases: the share of a shared dependency (callsOut over callsOver), and the runs that a cold node of the next tier withstands (fallMultiple, coldFrom, warmAfter over overloadFor). Change: stand-ins that are cold, count what all processes together put on them by those figures, and a test for each case with the processes starting at one moment and apart; each with one that shows that a broken budget is seen.

--- a/chutepin/lab/standins.py
+++ b/chutepin/lab/standins.py
@@ -163,10 +163,11 @@
 
     async def _executor_side(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         parser = LineParser(lambda words: words[0] in ("EXEC", "RETURN"), 65536)
-        while data := await reader.read(65536):
-            parser.feed(data)
-            while (message := parser.next()) is not None:
-                self._command(writer, *message)
+        with contextlib.suppress(OSError):  # the node was killed
+            while data := await reader.read(65536):
+                parser.feed(data)
+                while (message := parser.next()) is not None:
+                    self._command(writer, *message)
 
     def _command(self, writer: asyncio.StreamWriter, words: list[str], body: bytes) -> None:
         match words[0]:
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -4,25 +4,151 @@
 
 import asyncio
 import contextlib
+import json
+import math
+import os
 import shlex
 import sys
 import time
 import tomllib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
 
 import pytest
 
+from chutepin.lab.dependency import ColdDependency, ColdServer, RecordsProxy, WarmUp
 from chutepin.lab.flood import Flood
 from chutepin.lab.standins import Balancer, eventually
 from chutepin.net.control import ANSWER_BY, EVERY
 from chutepin.net.resp import array
 
-from .helper import ROOT, Standins
+from .helper import ENV, ROOT, Standins
 from .test_node import on_sockets
 from .test_operation import call
 
+# --- many nodes call one cold dependency ---
+
+SHARE = 1.5  # calls that the dependency withstands of one node, as a mean
+OVER = 1.0  # seconds over which they are averaged
+LINGER = 0.1  # seconds that an abandoned call stays in the dependency's hands
+COLD_FROM, WARM_AFTER = 0.2, 3.0  # share of the speed at first; seconds
+CALL_TAKES = 0.05  # seconds at full speed
+OPEN = 16  # requests that each node has open all the while
+SERVER_CORES, FALL = 2, 6.0  # of a cold node of the next tier; runs a core that it withstands warm
+LASTS = 2.0  # seconds for which the node that is up last is asked
+APART = 1.5  # seconds over which the starts are spread
+
+
+def allowed(nodes: int) -> float:
+    """Calls in hand, as a mean, that the operators allow for this budget."""
+    budget = nodes * SHARE
+    return budget + 2 * math.sqrt(budget) + 2
+
+
+class Caller(Standins):
+    """A node whose runs make calls, among others that do."""
+
+    def __init__(self, records: str) -> None:
+        super().__init__()
+        self.records_address = records
+
+    async def ask(self, stack: AsyncExitStack, after: float, enough: asyncio.Event) -> None:
+        """Start after a while, and keep requests open until it is enough."""
+        await asyncio.sleep(after)
+        await self.start(stack)
+        balancer = await self.connect()
+        await asyncio.gather(*(self._repeat(balancer, enough) for _ in range(OPEN)))
+        await balancer.close()
+
+    async def _repeat(self, balancer: Balancer, enough: asyncio.Event) -> None:
+        while not enough.is_set():
+            tag = balancer.call("work-order", b"x", os.urandom(16).hex())
+            while not (balancer.answers.get(tag) or enough.is_set()):
+                await asyncio.sleep(0.01)
+
+
+class ColdCaller(Caller):
+    """One that is cold itself, and is told its share of the calls that a dependency withstands."""
+
+    def __init__(self, records: str, told: float) -> None:
+        super().__init__(records)
+        self.warmth, self.age_ms = "chilly", 0
+        self.env["familyInfo"] |= {"downstream": "shared", "callsOut": told, "callsOver": OVER, "linger": LINGER}
+        self.env["safety"] |= {"coldFrom": COLD_FROM, "warmAfter": WARM_AFTER}
+
+
+async def ask_all(stack: AsyncExitStack, callers: Sequence[Caller], apart: float) -> None:
+    """Start these at one moment or apart, and keep all busy until a while after the last has started."""
+    enough = asyncio.Event()
+    asking = [
+        asyncio.ensure_future(caller.ask(stack, apart * number / len(callers), enough))
+        for number, caller in enumerate(callers)
+    ]
+    await eventually(lambda: all(caller.joins for caller in callers) or any(task.done() for task in asking))
+    await asyncio.sleep(LASTS)
+    enough.set()
+    await asyncio.gather(*asking)
+
+
+async def most_calls(nodes: int, apart: float, told: float = SHARE) -> ColdDependency:
+    """What a dependency bore of so many nodes."""
+    async with AsyncExitStack() as stack:
+        dependency = ColdDependency(CALL_TAKES, WarmUp(COLD_FROM, WARM_AFTER), LINGER)
+        address = await dependency.listen(stack)
+        await ask_all(stack, [ColdCaller(address, told) for _ in range(nodes)], apart)
+    return dependency
+
+
+async def called_server(nodes: int, apart: float, told: int = SERVER_CORES) -> tuple[ColdServer, RecordsProxy]:
+    """What a cold node of the next tier bore of so many nodes. It is told that it has so many cores."""
+    async with AsyncExitStack() as stack:
+        env = json.loads(json.dumps(ENV))
+        env["familyInfo"] |= {"cpus": SERVER_CORES, "senders": nodes}
+        env["safety"] |= {"coldFrom": COLD_FROM, "warmAfter": WARM_AFTER, "overloadFor": OVER, "fallMultiple": FALL}
+        server = ColdServer(env, CALL_TAKES)
+        server.env["familyInfo"]["cpus"] = told
+        working = asyncio.ensure_future(server.run())
+        stack.callback(working.cancel)
+        await server.start(stack)
+        proxy = RecordsProxy(server, "position-push")
+        address = await proxy.listen(stack)
+        await ask_all(stack, [Caller(address) for _ in range(nodes)], apart)
+    return server, proxy
+
+
+@pytest.mark.parametrize("apart", [0.0, APART], ids=["at once", "apart"])
+@pytest.mark.parametrize("nodes", [2, 20, 30])
+def test_the_calls_of_many_nodes_together_keep_to_the_budget_of_a_cold_dependency(nodes: int, apart: float) -> None:
+    dependency = asyncio.run(most_calls(nodes, apart))
+    most = dependency.load.most(OVER)
+    print(f"{nodes} nodes: {most:.1f} of {nodes * SHARE}, {allowed(nodes):.1f} allowed; {dependency.load.begun} calls")
+    assert dependency.load.begun > nodes  # each node called
+    assert most <= allowed(nodes)
+
+
+def test_nodes_that_are_told_too_great_a_share_are_seen_to_break_the_budget() -> None:
+    most = asyncio.run(most_calls(2, 0.0, told=10 * SHARE)).load.most(OVER)
+    assert most > allowed(2), most
+
+
+@pytest.mark.parametrize("apart", [0.0, APART], ids=["at once", "apart"])
+@pytest.mark.parametrize("nodes", [2, 20, 30])
+def test_a_cold_node_bears_the_calls_of_many_nodes_together(nodes: int, apart: float) -> None:
+    server, proxy = asyncio.run(called_server(nodes, apart))
+    print(
+        f"{nodes} nodes: {server.fullest():.2f} of the budget at most; "
+        f"{proxy.calls} calls, {server.load.begun} runs, {server.served} served"
+    )
+    assert proxy.calls > nodes and server.served
+    assert server.fullest() <= 1.0  # stricter than the operators' 2 sqrt(N) + 2 beyond it
+
+
+def test_a_cold_node_that_is_told_too_many_cores_is_seen_to_break_its_budget() -> None:
+    server, _ = asyncio.run(called_server(2, 0.0, told=10 * SERVER_CORES))
+    assert server.fullest() > 1.0
+
+
 # --- idle callers hold every descriptor while the control plane is away ---
 
 FEW_DESCRIPTORS = 64
