--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -17,7 +17,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from chutepin.admin import Calls, Listener
 from chutepin.admission import (
+    CLOSING_AT_ONCE,
     Acceptor,
     Deadlines,
     Ledger,
@@ -36,6 +38,9 @@
 from chutepin.admission.proxy import proxy_head
 from chutepin.admission.rules import SETTLED
 from chutepin.config import ConfigError, parse_setup
+from chutepin.figures import Figures
+from chutepin.lab.standins import eventually, free_port
+from chutepin.lifecycle import Lifecycle
 from chutepin.node import rules_of
 from chutepin.ops import Clock, Counters, Log
 
@@ -428,6 +433,58 @@
         return await reader.read()
 
 
+def crowd(port: int) -> list[socket.socket]:
+    """Peers that have connected while the loop had no turn: all wait to be accepted at once."""
+    return [socket.create_connection(("127.0.0.1", port)) for _ in range(50)]
+
+
+def test_dropped_newcomers_hold_few_descriptors_at_a_time_and_are_all_closed() -> None:
+    class Dropping(Gate):
+        def admits(self, address: bytes, short: bool) -> Welcome:
+            held.append(acceptor._dropped + 1)
+            return Welcome.DROP
+
+    held: list[int] = []
+    counters = Counters()
+    acceptor = Acceptor(Dropping(), b"BYE", counters, Log(Clock()))
+
+    async def run() -> None:
+        await acceptor.listen("127.0.0.1", 0)
+        peers = crowd(acceptor.port)
+        await eventually(lambda: len(held) == len(peers) and not acceptor._dropped)
+        acceptor.close()
+        for peer in peers:
+            assert peer.recv(1) == b""
+            peer.close()
+
+    asyncio.run(run())
+    assert max(held) <= CLOSING_AT_ONCE and counters.counts["admission.waits"]
+
+
+def test_silent_operators_callers_hold_few_descriptors_beyond_their_share() -> None:
+    most, held = 4, list[int]()
+    ledger = Ledger(64, {"ops": (most, most)})
+
+    class Watched(Listener):
+        def serve(self, sock: socket.socket, address: bytes) -> None:
+            super().serve(sock, address)
+            held.append(ledger.parts["ops"].held)
+
+    async def run() -> None:
+        listener = Watched(Calls(Lifecycle(), Figures(())), ledger, Counters(), Log(Clock()))
+        port = await free_port()
+        await listener.listen("127.0.0.1", port)
+        peers = crowd(port)
+        await eventually(lambda: len(held) == len(peers))
+        listener.close()
+        for peer in peers:
+            peer.close()
+        await eventually(lambda: not ledger.parts["ops"].held)
+
+    asyncio.run(run())
+    assert max(held) <= most + CLOSING_AT_ONCE
+
+
 def test_without_descriptors_newcomers_are_told_and_service_is_back_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """The process has none left but the spare one: modelled by an accept that fails while the spare is held."""
 
