Acceptance tests: fewer looks a second, so that the stand-ins keep up on a busy machine

Cause: 480 open requests looked at a hundred times a second each kept the test's process busy. Change: looks every 50 ms, and 20 ms at the proxy.

--- a/chutepin/lab/dependency.py
+++ b/chutepin/lab/dependency.py
@@ -115,6 +115,7 @@
 
 
 STEP = 0.005  # seconds between looks at what the cores have done
+LOOK = 0.02  # seconds between looks at whether a call that was handed on is answered
 
 
 class ColdServer(Standins):
@@ -220,7 +221,7 @@
         tag = upstream.call(self._cls, body, wait=wait)
         until = time.monotonic() + wait / 1000
         while tag not in upstream.answers and not upstream.ended and time.monotonic() < until:
-            await asyncio.sleep(STEP)
+            await asyncio.sleep(LOOK)
         answer = upstream.answers.get(tag, [[b"", b"", b""]])[0]
         word = _WORDS.get(answer[0], "ERROR")
         writer.write(line(words[1], word, body=answer[2] if word == "DONE" else None))
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -27,6 +27,8 @@
 from .test_node import on_sockets
 from .test_operation import call
 
+LOOK = 0.05  # seconds between looks at whether an answer is there or a node is ready
+
 # --- many nodes call one cold dependency ---
 
 SHARE = 1.5  # calls that the dependency withstands of one node, as a mean
@@ -65,7 +67,7 @@
         while not enough.is_set():
             tag = balancer.call("work-order", b"x", os.urandom(16).hex())
             while not (balancer.answers.get(tag) or enough.is_set()):
-                await asyncio.sleep(0.01)
+                await asyncio.sleep(LOOK)
 
 
 class ColdCaller(Caller):
@@ -239,7 +241,6 @@
 READY_BY = 10.0  # seconds from the start of the process
 READY_PART = 0.9
 HELD_UP = 10  # of those at once, the nodes whose executor comes up after them
-LOOK = 0.05  # seconds between looks at a node that is not ready yet
 
 
 def deployed() -> str:
