Scale in real time: the report tells how late the workers' event loops were

Cause: 292 hollow and 8 real members on a machine at load 24 declared 7 live ones dead and took 13 s to know of a crash; nothing in the report told a starved run from a fault of the members.

Change: loop_lag_s, mean and p99 over the workers' samples.

--- a/chutepin/lab/scale/messages.py
+++ b/chutepin/lab/scale/messages.py
@@ -41,6 +41,7 @@
 
     at: float
     cpu_ns: int
+    lag: float  # seconds by which its event loop was late for this
     traffic: dict[str, list[int]]
     views: tuple[ViewSummary, ...]  # that differ from each other, of the members that run
     running: int
--- a/chutepin/lab/scale/realtime.py
+++ b/chutepin/lab/scale/realtime.py
@@ -109,6 +109,7 @@
         self._cpu: dict[str, int] = {}  # by first member of a process, as last seen
         self._tasks: set[asyncio.Task[None]] = set()
         self._failures: list[BaseException] = []
+        self.lags: list[float] = []  # seconds by which the workers' event loops were late
         self._began = math.inf  # of the schedule, on the clock that all processes share
         self.epoch = 0
         self._equal_since = math.inf
@@ -254,6 +255,8 @@
         spent = sample.cpu_ns - self._cpu.get(names[0], sample.cpu_ns)
         self._cpu[names[0]] = sample.cpu_ns
         at = sample.at - self._began
+        if at >= 0:
+            self.lags.append(sample.lag)
         for name in names:
             self._count(name, at, sample.traffic[name])
             if at >= 0:
@@ -355,5 +358,6 @@
         guard.peak / 2**20,
         time.monotonic() - begun,
         text,
+        run.lags,
     )
     return report(observed, "real", run.real_names, set(run.schedule.names()) - run.real_names), run
--- a/chutepin/lab/scale/report.py
+++ b/chutepin/lab/scale/report.py
@@ -6,7 +6,7 @@
 import math
 import statistics
 import subprocess
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -64,6 +64,7 @@
     views_equal_s: float  # NaN: they never were
     took_s: float
     commit: str
+    loop_lag: Figures  # seconds, of the workers of a real run: how starved they were
 
     @property
     def sound(self) -> bool:
@@ -88,6 +89,7 @@
             "sent_datagram_bytes_per_s": self.sent_datagrams.as_json(),
             "sent_stream_bytes_per_s": self.sent_streams.as_json(),
             "cpu_ms_per_s": self.cpu.as_json(),
+            **({"loop_lag_s": self.loop_lag.as_json()} if self.mode == "real" else {}),
             **({"cpu_hollow_ms_per_s": self.cpu_hollow.as_json()} if self.hollow else {}),
             **({"cpu_real_ms_per_s": self.cpu_real.as_json()} if self.real else {}),
             "peak_bytes_per_s": {f"{width:g}s": round(peak) for width, peak in self.peaks.items()},
@@ -117,6 +119,7 @@
     memory_mb: float
     took_s: float
     commit: str  # of the text that ran
+    lags: Sequence[float] = ()  # seconds by which the event loops of a real run were late
 
 
 def report(observed: Observed, mode: str, real: Collection[str] = (), hollow: Collection[str] = ()) -> ScaleReport:
@@ -144,6 +147,7 @@
         views_equal_s=observed.views_equal_s,
         took_s=observed.took_s,
         commit=observed.commit,
+        loop_lag=figures(observed.lags),
     )
 
 
--- a/chutepin/lab/scale/worker.py
+++ b/chutepin/lab/scale/worker.py
@@ -50,11 +50,12 @@
 
     async def _sample_on(self) -> None:
         while True:
+            due = time.monotonic() + SAMPLE_EVERY
             await asyncio.sleep(SAMPLE_EVERY)
-            sys.stdout.write(sample_line(self._sample()))
+            sys.stdout.write(sample_line(self._sample(time.monotonic() - due)))
             sys.stdout.flush()
 
-    def _sample(self) -> Sample:
+    def _sample(self, lag: float) -> Sample:
         deaths = tuple(self._deaths)
         self._deaths.clear()
         running = [node for node in self._nodes.values() if node.running]
@@ -62,6 +63,7 @@
         return Sample(
             time.monotonic(),
             time.process_time_ns(),
+            lag,
             {name: node.traffic() for name, node in self._nodes.items()},
             tuple(views),
             len(running),
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -35,7 +35,7 @@
 SMALL = Load(members=40, restarts_per_second=0.5, seconds=12.0, seed=3)
 REAL = Load(members=17, restarts_per_second=0.5, seconds=4.0, seed=5)  # by which the one real program restarts
 SHORTEST_RECORD = 24  # bytes
-RUN_BY_CHANCE = ("cpu", "cpu_hollow", "cpu_real", "memory_mb", "took_s", "commit")
+RUN_BY_CHANCE = ("cpu", "cpu_hollow", "cpu_real", "memory_mb", "took_s", "commit", "loop_lag")
 
 # --- the meter ---
 
@@ -294,6 +294,7 @@
     for kind in Kind:
         sent, received = (played.meter.total(direction, kind) for direction in Direction)
         assert 0.8 * sent < received < 1.2 * sent  # what is sent to one that is away is not received
+    assert report.loop_lag.p99 >= report.loop_lag.mean > 0
     assert report.cpu_hollow.mean > 0 and report.memory_mb > 10
     no_process_left()
 
