A node starts no thread to look up a numeric listening address

The only thread that a node without a store starts is the loop's look-up of its listening address, found by a search for executors and threads. Change: an address in numbers is resolved in place, names as before. Looked for elsewhere: asyncio's open_connection resolves numbers without a thread.

--- a/chutepin/admission/acceptor.py
+++ b/chutepin/admission/acceptor.py
@@ -14,7 +14,7 @@
 import socket
 from collections.abc import Callable
 from enum import Enum
-from typing import Protocol
+from typing import Any, NamedTuple, Protocol
 
 from ..ops import Counters, Log
 from .addresses import pack
@@ -76,6 +76,28 @@
         """Take an admitted connection over."""
 
 
+class _Endpoint(NamedTuple):
+    """What a listening socket is made of and bound to."""
+
+    family: socket.AddressFamily
+    kind: socket.SocketKind
+    protocol: int
+    address: tuple[Any, ...]
+
+
+async def _resolve(host: str, port: int) -> list[_Endpoint]:
+    """The endpoints of a host to listen at, each once. Only a name is looked up in a thread: an address in numbers
+    needs no wait, and a start on a busy machine should not depend on a second thread's turn. Raises OSError."""
+    flags = socket.AI_PASSIVE | socket.AI_NUMERICHOST
+    try:
+        found = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=flags)
+    except socket.gaierror:
+        loop = asyncio.get_running_loop()
+        found = await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
+    endpoints = [_Endpoint(family, kind, protocol, address) for family, kind, protocol, _, address in found]
+    return list(dict.fromkeys(endpoints))
+
+
 class Acceptor:
     """One listening address."""
 
@@ -98,10 +120,9 @@
 
     async def listen(self, host: str, port: int, share: Share = Share.NONE) -> None:
         """Listen on all addresses of a host. Raises OSError."""
-        loop = asyncio.get_running_loop()
-        found = await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
+        endpoints = await _resolve(host, port)
         try:
-            for family, kind, protocol, _, address in dict.fromkeys(found):
+            for family, kind, protocol, address in endpoints:
                 sock = socket.socket(family, kind, protocol)
                 self._sockets.append(sock)
                 sock.setblocking(False)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,6 +10,7 @@
 import os
 import random
 import socket
+import threading
 from collections.abc import Callable
 
 import pytest
@@ -433,6 +434,29 @@
         return await reader.read()
 
 
+def test_to_listen_at_a_numeric_address_starts_no_thread() -> None:
+    """At two starts on a busy machine the loop was seen to stand still while a second thread ran: the look-up."""
+
+    async def run() -> int:
+        before = threading.active_count()
+        acceptor = Acceptor(Gate(), b"", Counters(), Log(Clock()))
+        await acceptor.listen("127.0.0.1", 0)
+        acceptor.close()
+        return threading.active_count() - before
+
+    assert asyncio.run(run()) == 0
+
+
+def test_a_host_by_name_is_still_looked_up() -> None:
+    async def run() -> None:
+        acceptor = Acceptor(Gate(), b"", Counters(), Log(Clock()))
+        await acceptor.listen("localhost", 0)
+        assert acceptor.port
+        acceptor.close()
+
+    asyncio.run(run())
+
+
 def crowd(port: int) -> list[socket.socket]:
     """Peers that have connected while the loop had no turn: all wait to be accepted at once."""
     return [socket.create_connection(("127.0.0.1", port)) for _ in range(50)]
