--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -7,6 +7,7 @@
 
 from benchmarks.fleet_size import ASSUMPTIONS, TARGET, Assumptions, FleetSize, rows
 
+from . import comparison
 from .assess import Assessed, Cell, Slope, assess
 from .drawing import drawable
 from .model import Aspect, Bound, Condition, Demand, Limit, Role
@@ -75,6 +76,7 @@
             "",
             *_unmeasured(assessed, roles),
             "",
+            *_compared(),
             "## What breaks",
             "",
             "By factor, the largest first. This is the plan.",
@@ -100,6 +102,23 @@
     return _table(("what", "value"), ([one.label, whole(one.value)] for one in rows(of)))
 
 
+def _compared() -> list[str]:
+    """Membership before and after its change; nothing where no runs of both are kept."""
+    lines = comparison.compared()
+    if not lines:
+        return []
+    return [
+        "## Membership before and after",
+        "",
+        "The mechanism that was changed first: it was chosen by a first look, before this page was measured. By the",
+        "factors below the configuration of all tenants and its state on the log would come first; both wait for",
+        "`policy/`, which does not exist yet, while membership does. Each row is one run of `lab scale`.",
+        "",
+        *_table(comparison.HEAD, lines),
+        "",
+    ]
+
+
 # --- roles ---
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -15,6 +15,7 @@
 import pytest
 
 from benchmarks.capacity import __main__ as command
+from benchmarks.capacity import comparison
 from benchmarks.capacity.assess import assess
 from benchmarks.capacity.bounds import most_members
 from benchmarks.capacity.drawing import CHARTS, draw, drawable
@@ -338,3 +339,30 @@
     (tmp_path / "100.json").write_text("{}")
     with pytest.raises(ResultError, match=r"100\.json"):
         member.read(tmp_path)
+
+
+# --- membership before and after ---
+
+
+def _keep_run(directory: Path, **raw: object) -> None:
+    directory.mkdir()
+    run = {"scenario": "churn", "members": 400, "seed": 1, "commit": "abc", "false_deaths": 0, **raw}
+    (directory / "scale-simulator-churn.json").write_text(json.dumps([run]))
+    (directory / "unfinished-churn.json").write_text("[]")
+
+
+def test_runs_of_both_mechanisms_stand_side_by_side(tmp_path: Path) -> None:
+    before, after = tmp_path / "before", tmp_path / "after"
+    _keep_run(before, sent_bytes_per_s={"mean": 4223.4, "p99": 19962.3})
+    assert comparison.compared(before, after) == []
+    _keep_run(after, sent_bytes_per_s={"mean": 1234.5, "p99": 2000.0}, false_deaths=2)
+    first, second = comparison.compared(before, after)
+    assert (first[:4], first[-2:]) == (["churn", "400", "before", "4,220, 20,000"], ["0", "1, abc"])
+    assert (second[:4], second[-2:]) == (["churn", "400", "now", "1,230, 2,000"], ["2.00", "1, abc"])
+    assert second[5] == second[7] == "—"
+
+
+def test_a_kept_run_that_cannot_be_read_is_named(tmp_path: Path) -> None:
+    (tmp_path / "scale-x.json").write_text("{")
+    with pytest.raises(ResultError, match=r"^scale-x\.json: "):
+        comparison.compared(tmp_path, tmp_path / "none")
