Membership: seeds refer those that join; contacts with the away are bounded for the cluster

Change: from 64 members on a seed names eight members, one of which is asked for all; contacts with one that is away are drawn so that all members together make 12 a second; who leaves tests nobody.

--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -78,6 +78,9 @@
 RECORD_BYTES = 24  # of a short record, for an estimate
 LEAST_REPAIR = 2048  # bytes that a repair may move however little of the budget is left
 DISSEMINATION = 2.0  # seconds, times log10 of the members, after which nearly all have heard an update
+REFER_FROM = 64  # members from which on a seed refers those that join: whole states would be a few seeds' whole traffic
+REFERRALS = 8  # members that a seed names to one that joins
+CONTACTS = 12.0  # a second, of all members together, with one seed or one dead member that is away
 MAX_CORRECTIONS = 4  # updates that are put right by one packet
 EXCHANGES = (Sync, BucketRecords, RecordRequest, Records)  # whose updates are states of the other side, not news
 
@@ -445,7 +448,12 @@
             if self.view.refused_by is not None:
                 return
             self.view.joined = True
-            self._reply(packet.me.name, Sync(False, True), self.view.whole(now))
+            if packet.body.referred or self.view.members < REFER_FROM:
+                self._reply(packet.me.name, Sync(False, True), self.view.whole(now))
+            else:
+                self._refer(packet.me.name)
+        elif isinstance(packet.body, Sync) and packet.body.referred:
+            self._follow(packet)
         elif self.view.refused_by is not None:  # nobody holds the name any more
             self.view.refused_by = None
             self.view.begin_life(self.me.incarnation)
@@ -455,6 +463,24 @@
         else:
             self.view.joined = self.view.joined or believed
 
+    def _refer(self, newcomer: str) -> None:
+        """Name a few members that one that joins may ask for all, so that not the seeds alone carry whole states."""
+        live = [name for name in self.view.table.live() if name != newcomer]
+        some = self._rng.sample(live, min(REFERRALS, len(live)))
+        records = [self.view.table.members[name].record for name in some]
+        self._reply(newcomer, Sync(False, True, referred=True), records)
+
+    def _follow(self, packet: Packet) -> None:
+        """Ask one of the members that a seed has named; if it does not answer, a seed is asked again."""
+        named = [
+            update
+            for update in packet.updates
+            if isinstance(update, Record) and update.live and update.name != self.me.name
+        ]
+        if named:
+            chosen = self._rng.choice(named)
+            self._exchange(chosen.name, self.address(chosen.name) or chosen.address, Sync(True, False, referred=True))
+
     # --- anti-entropy ---
 
     def _dissemination_time(self) -> float:
@@ -490,6 +516,11 @@
         count = anti_entropy.bucket_count_of(body.digests)
         if not count or self.view.refused_by is not None:
             return
+        if not self.view.joined:  # nothing to compare yet; but here is somebody to join by
+            self._reply(sender, Records())
+            if now >= self._pace.due:
+                self._contact(now, sender, self.address(sender) or "")
+            return
         buckets = anti_entropy.differing(self._digests(count), body.digests)
         self._rng.shuffle(buckets)  # lest those beyond the budget be the same ones each time
         room = max(LEAST_REPAIR, self._budget.available(now))
@@ -589,7 +620,11 @@
     def _probe(self, now: float, subject: str, why: Why) -> None:
         """Begin to ask a member, unless that is under way."""
         member = self.view.table.members.get(subject)
-        if member is None or any(probe.subject == subject and probe.why is why for probe in self._probes.values()):
+        if (
+            self.leaving
+            or member is None
+            or any(probe.subject == subject and probe.why is why for probe in self._probes.values())
+        ):
             return
         if why is not Why.BACK and not member.record.live:
             return
@@ -607,7 +642,7 @@
     def _ask_for(self, now: float, asker: str, body: PingReq, against: list[Record]) -> None:
         """Ping somebody for another member."""
         member = self.view.table.members.get(body.subject)
-        if member is None or not member.record.live or len(self._relays) >= MOST_RELAYS:
+        if self.leaving or member is None or not member.record.live or len(self._relays) >= MOST_RELAYS:
             known = [member.record] if member is not None else []
             self._send(asker, Found(body.nonce, body.subject, False, -1), known + against)
             return
@@ -900,13 +935,15 @@
         ]
         if not self.view.joined:
             away = self._seeds
-        if away and (not self.view.joined or self._rng.random() < 0.25):
+        often = 0.25 * min(1.0, CONTACTS / self.view.members)
+        if away and (not self.view.joined or self._rng.random() < often):
             name, address = self._rng.choice(away)
             self._contact(now, name, self._reach.get(name, address))
             if self.view.refused_by is not None:
                 self._next_join = now + 5 * self._setup.join_every
-        if self._active and (dead := self.view.table.of(Status.DEAD)):
-            self._probe(now, self._rng.choice(dead), Why.BACK)
+        gone = self.view.table.count(Status.DEAD)
+        if self._active and gone and self._rng.random() < CONTACTS * gone / self.view.members:
+            self._probe(now, self._rng.choice(self.view.table.of(Status.DEAD)), Why.BACK)
 
     def _keep_house(self, now: float) -> None:
         view = self.view
--- a/chutepin/cluster/messages.py
+++ b/chutepin/cluster/messages.py
@@ -46,10 +46,12 @@
 
 class Sync(NamedTuple):
     """All that the sender knows stands in the updates. `ask`: tell me yours. `joined`: some member has taken the sender
-    in before. Over TCP only."""
+    in before. `referred`: in an answer, that the updates are a few members, one of which is to be asked for all; in a
+    request, that the sender was told to ask here. Over TCP only."""
 
     ask: bool
     joined: bool
+    referred: bool = False
 
 
 class BucketDigests(NamedTuple):
