Tests of dissemination and anti-entropy: four invariants, five planted errors

Four invariants of a history (bytes_are_within_budget, repairs_move_only_differences, repairs_are_paced, the_departed_are_forgotten), each with a planted error; NoRepair is caught by views_agree_in_the_end. The simulator writes down repairs and, where a meter is given, the most that a member sends in ten seconds. The shortest pause between repairs is half of sync-every; urgent gossip is never slower than other gossip.

--- a/chutepin/cluster/anti_entropy.py
+++ b/chutepin/cluster/anti_entropy.py
@@ -15,7 +15,7 @@
 MAX_BUCKETS = 1024
 DIGEST_BYTES = 4
 _DIGEST_MASK = 2 ** (8 * DIGEST_BYTES) - 1
-MIN_PAUSE, MAX_PAUSE = 0.25, 8.0  # times `sync-every`
+MIN_PAUSE, MAX_PAUSE = 0.5, 8.0  # times `sync-every`
 ODD_ONE_OUT = 4  # members in a row whose digests are equal, but for this member's: then it has missed something
 MANY_DIFFERENCES = 16  # found at once: something is going on, and the next repair comes soon
 
--- a/chutepin/cluster/gossip.py
+++ b/chutepin/cluster/gossip.py
@@ -48,9 +48,10 @@
 def gossip_interval(every: float, members: int, urgent: bool) -> float:
     """Seconds between two rounds of gossip packets, by their interval in a small cluster. The more members, the more
     updates share a packet, and the more packets of others bring each update here."""
+    urgent_interval = every * max(1.0, math.log10(members))
     if urgent:
-        return every * max(1.0, math.log10(members))
-    return max(every, min(LONGEST_ROUTINE_INTERVAL, every * members / ROUTINE_MEMBERS))
+        return urgent_interval
+    return max(urgent_interval, min(LONGEST_ROUTINE_INTERVAL, every * members / ROUTINE_MEMBERS))
 
 
 class _Item:
--- a/chutepin/lab/history.py
+++ b/chutepin/lab/history.py
@@ -37,6 +37,15 @@
         return next((state for other, state, _ in self.states if other == name), "unknown")
 
 
+@dataclass(frozen=True, slots=True)
+class Repair:
+    """One member compared its view with another one's over TCP, and so many records came back."""
+
+    at: float
+    member: str
+    records: int
+
+
 @dataclass(slots=True)
 class History:
     """All that was done and seen, in order of time, and the traffic that it took."""
@@ -49,6 +58,8 @@
     bytes: int = 0
     repeats: int = 0  # how often one update was told on by one member, at the most
     longest: int = 0  # bytes of a datagram
+    repairs: list[Repair] = field(default_factory=list)
+    peak: float = 0.0  # bytes a second that one member sent in ten seconds, at the most; 0 where nobody counted
 
     def last(self, member: str) -> Shown | None:
         """What a member showed last."""
--- a/chutepin/lab/invariants.py
+++ b/chutepin/lab/invariants.py
@@ -15,6 +15,10 @@
 JUST = 1.0  # a probe that was under way when a member was stopped would be over
 AWAKE = 10.0  # for which a woken member must accuse nobody to death
 CORRECTIONS = 16  # times that an update may be told besides, to those that tell older news
+WINDOW = 10.0  # seconds over which bytes and repairs are counted
+PROBE_BYTES = 2000  # a second, that probes, their answers and those of helpers take in the worst hour
+LATELY = 60.0  # seconds for which a change may still be missing somewhere
+MAX_REPAIRS = 8  # of one member in a window: one in 1.25 seconds at the soonest
 SUSPICION = 10.0  # for how long back somebody must have been out of reach to be rightly called dead
 
 
@@ -199,6 +203,60 @@
     return found
 
 
+def bytes_are_within_budget(history: History, slack: float = 1.0) -> list[str]:
+    """What a member sends in ten seconds is what its budget and its probes allow, whatever happens."""
+    from ..cluster.budget import BURST_SECONDS, BYTES_PER_SECOND
+
+    allowed = BYTES_PER_SECOND * (1 + BURST_SECONDS / WINDOW) + PROBE_BYTES
+    if history.peak > allowed:
+        return [f"a member sent {history.peak:.0f} bytes a second for ten seconds, {allowed:.0f} are allowed"]
+    return []
+
+
+def repairs_move_only_differences(history: History, slack: float = 1.0) -> list[str]:
+    """What anti-entropy brings grows with what has changed lately, not with the number of members."""
+    from ..cluster.anti_entropy import NAMES_PER_BUCKET
+
+    found = []
+    events = sorted((seen.at, seen.subject) for seen in history.seen)
+    for repair in history.repairs:
+        first = bisect.bisect_left(events, (repair.at - LATELY, ""))
+        changed = {subject for _, subject in events[first : bisect.bisect_right(events, (repair.at, "~"))]}
+        allowed = 2 * NAMES_PER_BUCKET * (len(changed) + 1)  # a bucket holds twice as many names as on average
+        if repair.records > allowed:
+            found.append(
+                f"{repair.at:.2f} {repair.member} was sent {repair.records} records, {len(changed)} had changed"
+            )
+    return found
+
+
+def repairs_are_paced(history: History, slack: float = 1.0) -> list[str]:
+    """A member repairs a bounded number of times in ten seconds, but for its contacts with the dead."""
+    found = []
+    dead = sorted(seen.at for seen in history.seen if seen.what == "dead")
+    last: dict[str, list[float]] = {}
+    for repair in history.repairs:
+        times = [at for at in last.get(repair.member, []) if at > repair.at - WINDOW]
+        last[repair.member] = times = [*times, repair.at]
+        lately_dead = bisect.bisect_right(dead, repair.at) > bisect.bisect_left(dead, repair.at - LATELY)
+        if len(times) > MAX_REPAIRS and not lately_dead:
+            found.append(f"{repair.at:.2f} {repair.member} repaired {len(times)} times in {WINDOW} s")
+    return found
+
+
+def the_departed_are_forgotten(history: History, slack: float = 1.0) -> list[str]:
+    """Who left in order and did not come back is shown for minutes, not for a day."""
+    from ..cluster.table import LEFT_REMEMBERED
+
+    latest = {name: fault.at for fault in history.done if fault.what == "leave" for name in fault.members}
+    return [
+        f"{shown.at:.2f} {shown.member} shows {name} left, which left at {latest[name]:.2f}"
+        for shown in history.shown
+        for name, state, _ in shown.states
+        if state == "left" and name in latest and shown.at > latest[name] + LEFT_REMEMBERED + SETTLED * slack
+    ]
+
+
 Invariant = Callable[[History, float], list[str]]
 ALL: tuple[Invariant, ...] = (
     no_live_member_is_declared_dead,
@@ -209,6 +267,10 @@
     incarnations_only_rise,
     cut_links_are_told_and_no_others,
     traffic_is_bounded,
+    bytes_are_within_budget,
+    repairs_move_only_differences,
+    repairs_are_paced,
+    the_departed_are_forgotten,
 )
 
 
--- a/chutepin/lab/simulator.py
+++ b/chutepin/lab/simulator.py
@@ -15,14 +15,14 @@
 
 from ..cluster.detector import Answer, Detector, Effect, Send
 from ..cluster.frames import cluster_id, decode, encode, stream_frame
-from ..cluster.messages import Gossip, Packet
+from ..cluster.messages import BucketRecords, Gossip, Packet
 from ..cluster.records import Record, ShortRecord, Status, Update
 from ..cluster.view import Persist, Tell
 from ..config import Address
 from ..config.cluster import ClusterSetup
 from .faults import Fault, Schedule
-from .history import History, Seen, Shown, Truth
-from .scale.traffic import Direction, Kind, TrafficMeter
+from .history import History, Repair, Seen, Shown, Truth
+from .scale.traffic import Direction, Kind, Span, TrafficMeter
 
 BUFFER = 256  # datagrams that wait in a socket's buffer
 TURN = 0.00005  # seconds that a member takes for a datagram
@@ -113,6 +113,9 @@
             self.now = at
             work(*arguments)
         self.history.repeats = max(self._told.values(), default=0)
+        if self._meter is not None:
+            span = Span(0, int(self.schedule.seconds))
+            self.history.peak = max(self._meter.rates(self.hosts, span, Direction.SENT), default=0.0)
         return self.history
 
     def _start(self, name: str) -> None:
@@ -335,6 +338,8 @@
         answer = self._receive(target, packet, True)
         if answer is not None:
             self._stream(target, host, answer)
+            if isinstance(answer.body, BucketRecords):
+                self.history.repairs.append(Repair(self.now, host.name, len(answer.updates)))
             self._at(self.now + self._way(), self._answered, host, answer)
 
     def _answered(self, host: _Host, answer: Packet) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -5,8 +5,10 @@
 import random
 
 from chutepin.cluster import Detector, Record, Status
+from chutepin.cluster.anti_entropy import RepairPace
+from chutepin.cluster.budget import ByteBudget
 from chutepin.cluster.health import Health
-from chutepin.cluster.records import Claim
+from chutepin.cluster.records import Claim, Update
 from chutepin.cluster.table import Table
 from chutepin.cluster.trials import Accusation
 from chutepin.cluster.view import View
@@ -116,6 +118,60 @@
         self.view.table = _Gullible(setup.members, setup.remember)
 
 
+class RepairsMoveWholeTables(Detector):
+    """Its digests of buckets differ from everybody's, so that all records are moved."""
+
+    def _digests(self, count: int) -> bytes:
+        return bytes(self._rng.randrange(256) for _ in super()._digests(count))
+
+
+class NoRepair(Detector):
+    """It sees that views differ and does nothing."""
+
+    def _compare(self, now: float, sender: str, digest: int) -> None:
+        pass
+
+
+class _Restless(RepairPace):
+    def compare(self, now: float, mine: int, theirs: int, patience: float) -> bool:
+        return mine != theirs
+
+
+class RepairsWithoutPause(Detector):
+    """It repairs at each digest that differs, also where gossip is still under way."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self._pace = _Restless(now, setup.sync_every)
+
+
+class _Spendthrift(ByteBudget):
+    def available(self, now: float) -> int:
+        return 10**9
+
+
+class _Unpressed(View):
+    def pick(self, room: int) -> list[Update]:
+        return self.queue.pick(room, 10**9)
+
+
+class NoBudget(Detector):
+    """It tells everything for ever, however much waits, and nothing holds it back."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self.view = _Unpressed(self.view.me, setup.members, setup.remember)
+        self._budget = _Spendthrift(now)
+
+
+class NeverForgets(Detector):
+    """It keeps the names of all that ever left."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self.view.table.aged = lambda now: []  # type: ignore[method-assign]
+
+
 ALL: tuple[type[Detector], ...] = (
     NoRefutation,
     IncarnationNotRaised,
@@ -128,3 +184,11 @@
     SlowToAccuse,
     TakesBackNews,
 )
+
+DISSEMINATION: tuple[type[Detector], ...] = (
+    RepairsMoveWholeTables,
+    NoRepair,
+    RepairsWithoutPause,
+    NoBudget,
+    NeverForgets,
+)
