--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -224,7 +224,7 @@
         view = self.view
         better: list[Update] = []
         sync = isinstance(packet.body, EXCHANGES)
-        spread = view.joined or not isinstance(packet.body, Sync)
+        spread = not isinstance(packet.body, Sync)  # what one learns that joins, all others know
         for update in packet.updates:
             if not believed and (isinstance(update, Links) or update.name != view.me.name):
                 continue
--- a/chutepin/cluster/state_exchange.py
+++ b/chutepin/cluster/state_exchange.py
@@ -9,7 +9,7 @@
 from . import anti_entropy
 from .anti_entropy import RepairPace
 from .messages import BucketDigests, BucketRecords, Packet, RecordRequest, Records, Sync
-from .outbox import Outbox
+from .outbox import INTRODUCED_AFTER, Outbox
 from .records import Claim, Links, Record, ShortRecord, Update, shorten
 from .table import Member, digest_of
 from .view import WHOLE, fitting
@@ -54,9 +54,14 @@
             self.view.begin_life(self.me.incarnation)
             self._number = 0
             self.view.tell("accepted", self.me.name, by=packet.me.name, incarnation=self.me.incarnation)
-            self.view.joined = True
-        else:
-            self.view.joined = self.view.joined or believed
+            self._taken_in(now)
+        elif believed and not self.view.joined:
+            self._taken_in(now)
+
+    def _taken_in(self, now: float) -> None:
+        """This member has joined; for some time its record may not be known everywhere."""
+        self.view.joined = True
+        self._introduced_at = now + INTRODUCED_AFTER
 
     def _refer(self, newcomer: str) -> None:
         """Name a few members that one that joins may ask for all, so that not the seeds alone carry whole states."""
