--- a/chutepin/cluster/view.py
+++ b/chutepin/cluster/view.py
@@ -33,6 +33,9 @@
 
 WHOLE = MAX_STREAM - 2048  # bytes of the updates of a whole state
 CONFIRMED = 8  # accusers that are kept of one incarnation
+# Seconds of a suspicion after which an exchange may bring the death that this member has missed: who lives has refuted
+# the suspicion by then, as it was told of it by gossip and by each that asks it.
+BELIEVED_AFTER = 6.0
 FORGOTTEN_SOON = LEFT_REMEMBERED / 2  # seconds after which others may have forgotten one that has gone
 
 
@@ -117,7 +120,8 @@
         if sync and update.status is Status.DEAD and member is not None and member.record.live:
             if member.record.address != update.address or update.incarnation < member.record.incarnation:
                 return Claim.STALE
-            update = update._replace(status=Status.SUSPECT)
+            if not (member.record.status is Status.SUSPECT and now - member.since >= BELIEVED_AFTER):
+                update = update._replace(status=Status.SUSPECT)
         old, since = (member.record, member.since) if member is not None else (None, now)
         claim = self.table.put(now, update)
         if claim is Claim.NEW:
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -18,7 +18,7 @@
 from chutepin.cluster.records import ShortRecord, expand, shorten
 from chutepin.cluster.table import LEFT_REMEMBERED
 from chutepin.cluster.transport import Transport
-from chutepin.cluster.view import View
+from chutepin.cluster.view import BELIEVED_AFTER, View
 from chutepin.config import Address
 from chutepin.config.cluster import ClusterSetup
 from chutepin.lab.faults import Fault, Schedule
@@ -95,6 +95,19 @@
     assert one.view.table.members["n13"].record.zone == "c" and "n300" in other.view.table.members
 
 
+def test_a_death_that_was_missed_comes_by_repair_also_where_the_member_is_suspect() -> None:
+    one, other = detector(1, 2, 20, 21), detector(2, 1, 20, 21)
+    one.view.joined = other.view.joined = True
+    one.view.table.put(1.0, record(20, 1, Status.SUSPECT))
+    for number in (20, 21):
+        other.view.table.put(1.0, record(number, 1, Status.DEAD))
+    for now in (60.0, 60.0 + BELIEVED_AFTER):
+        one._repair(now, "n2", "10.0.0.2:7301")
+        _exchange(one, other, now)
+        told = [one.view.table.members[name].record.status for name in ("n20", "n21")]
+        assert told == [Status.DEAD, Status.SUSPECT if now == 60.0 else Status.DEAD]
+
+
 def test_buckets_differ_where_names_do() -> None:
     live = [(f"n{number}", number * 7919) for number in range(2300)]
     count = bucket_count(len(live))
