--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -1,7 +1,7 @@
 """Failure detection: SWIM's probes with Lifeguard's changes and those of docs/membership.md.
 
 Pure: no clock, no socket, no chance of its own. Times are seconds on a clock that does not run backwards; what is to be
-sent or said comes out as data by `take`, in order. The same text runs in the node and in the simulator.
+sent or said comes out as data by `drain_effects`, in order. The same text runs in the node and in the simulator.
 
 The detector is built in layers, each of which knows those below it: `outbox` (packets, gossip), `state_exchange`
 (joining, anti-entropy), `link_watch`, `probing`, `accusations`, and here what comes in and what is due when."""
--- a/chutepin/cluster/outbox.py
+++ b/chutepin/cluster/outbox.py
@@ -67,7 +67,7 @@
         """This member's own record."""
         return self.view.me
 
-    def take(self) -> list[Effect]:
+    def drain_effects(self) -> list[Effect]:
         """What is to be done since the last time, in order."""
         effects, self._effects = self._effects + list(self.view.told), []
         self.view.told.clear()
--- a/chutepin/cluster/subsystem.py
+++ b/chutepin/cluster/subsystem.py
@@ -143,7 +143,7 @@
         if self._active and not self._left:
             self._left = True
             self._detector.leave(time.monotonic())
-            self._carry_out(self._detector.take())
+            self._carry_out(self._detector.drain_effects())
 
     def orders(self) -> dict[str, Order]:
         """None."""
@@ -186,7 +186,7 @@
 
     def _deliver(self, packet: Packet, stream: bool) -> Packet | None:
         self._detector.receive(time.monotonic(), packet, stream)
-        return self._carry_out(self._detector.take())
+        return self._carry_out(self._detector.drain_effects())
 
     def _tick(self) -> None:
         self._timer = None
@@ -197,7 +197,7 @@
             self._detector.health.worse()
         try:
             self._detector.tick(time.monotonic())
-            self._carry_out(self._detector.take())
+            self._carry_out(self._detector.drain_effects())
         finally:
             if self._timer is None and self._active:  # an error in one turn, which the node logs, silences nobody
                 self._timer = asyncio.get_running_loop().call_later(AGAIN, self._tick)
--- a/chutepin/lab/baseline.py
+++ b/chutepin/lab/baseline.py
@@ -48,7 +48,7 @@
         """The next beat."""
         return self._next
 
-    def take(self) -> list[Effect]:
+    def drain_effects(self) -> list[Effect]:
         """Beats carry no news."""
         return [
             effect
@@ -57,5 +57,5 @@
                 effect.address,
                 Packet(effect.packet.to, effect.packet.me, effect.packet.life, effect.packet.number, 0, Gossip()),
             )
-            for effect in super().take()
+            for effect in super().drain_effects()
         ]
--- a/chutepin/lab/simulator.py
+++ b/chutepin/lab/simulator.py
@@ -218,7 +218,7 @@
         assert detector is not None
         answer = None
         began = self._cpu()
-        effects, due = detector.take(), detector.wake_at()
+        effects, due = detector.drain_effects(), detector.wake_at()
         self._spend(host, began)
         for effect in effects:
             answer = self._effect(host, effect) or answer
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -471,11 +471,11 @@
 
     def meet(now: float) -> None:
         late.tick(now)
-        packets = [effect.packet for effect in late.take() if isinstance(effect, Send)]
+        packets = [effect.packet for effect in late.drain_effects() if isinstance(effect, Send)]
         late.wake_at()
         for packet in packets:
             seed.receive(now, packet, True)
-            for effect in seed.take():
+            for effect in seed.drain_effects():
                 if isinstance(effect, Answer):
                     late.receive(now, effect.packet, True)
             seed.wake_at()
@@ -484,7 +484,7 @@
     assert late.view.refused_by is not None and late.view.refused_by.address == "10.0.0.5:7301"
     assert seed.view.table.members["n5"].record.address == "10.0.0.5:7301"
     seed.view.take(40.0, seed.view.table.members["n5"].record._replace(status=Status.DEAD, by="n2"))
-    seed.take()
+    seed.drain_effects()
     for at in range(41, 53):
         meet(float(at))
     assert late.view.refused_by is None and late.view.joined
@@ -500,7 +500,7 @@
         detector.view.table.drop(name)
     for step in range(100):
         detector.tick(10.3 + step / 10)
-        detector.take()
+        detector.drain_effects()
         assert detector.wake_at() > 9.0
     assert not detector._probes
 
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -74,10 +74,10 @@
 
 def _exchange(one: Detector, other: Detector, now: float) -> None:
     """Carry out the exchanges that one member has begun with another, to their end."""
-    while sends := [effect for effect in one.take() if isinstance(effect, Send) and effect.stream]:
+    while sends := [effect for effect in one.drain_effects() if isinstance(effect, Send) and effect.stream]:
         for send in sends:
             other.receive(now, decode(encode(send.packet, FLEET), FLEET, True), True)
-            for answer in [effect for effect in other.take() if isinstance(effect, Answer)]:
+            for answer in [effect for effect in other.drain_effects() if isinstance(effect, Answer)]:
                 one.receive(now, decode(encode(answer.packet, FLEET), FLEET, True), True)
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -102,8 +102,8 @@
         super().__init__(setup, name, incarnation, now, rng)
         self._tally = tally
 
-    def take(self) -> list[object]:  # type: ignore[override]
-        effects = super().take()
+    def drain_effects(self) -> list[object]:  # type: ignore[override]
+        effects = super().drain_effects()
         for effect in effects:
             if isinstance(effect, Send) and not effect.stream:
                 self._tally.bytes[Kind.DATAGRAM] += len(encode(effect.packet, FLEET))
