Membership: after a cut each side asks the other's members itself, several at a time

Change: such a suspicion is not told on; four of them are tested at once; where the dead are more than the live, up to eight of them are asked at a time; two repeats in place of three while hundreds of updates wait.

--- a/chutepin/cluster/accusations.py
+++ b/chutepin/cluster/accusations.py
@@ -19,11 +19,13 @@
         super().__init__(setup, name, incarnation, now, rng)
         self._accusations: dict[str, Accusation] = {}
 
-    def _look_at_suspects(self, now: float) -> None:
-        """Some of those that hear of an accusation test it at once: about three, however many members there are."""
+    def _look_at_suspects(self, now: float, certain: int = 0) -> None:
+        """Some of those that hear of an accusation test it at once: about three, however many members there are. The
+        first `certain` are tested in any case."""
         suspected, self.view.suspected = self.view.suspected, []
-        for name, by in suspected:
-            if by != self.me.name and self._rng.random() < WITNESSES / max(1, self.view.members - 2):
+        for number, (name, by) in enumerate(suspected):
+            chance = 1.0 if number < certain else WITNESSES / max(1, self.view.members - 2)
+            if by != self.me.name and self._rng.random() < chance:
                 self._probe(now, name, Why.ROUND)
 
     def _lonely(self, now: float) -> bool:
--- a/chutepin/cluster/detector.py
+++ b/chutepin/cluster/detector.py
@@ -39,6 +39,8 @@
 HOUSEKEEPING = 1.0  # seconds
 FAREWELLS = 8  # members that hear at once of one that leaves
 CONTACTS = 12.0  # a second, of all members together, with one seed or one dead member that is away
+MAX_BACK = 8  # of the dead that are asked at a time, where they are more than the live
+TESTED_AFTER_EXCHANGE = 4  # of those that the other side of an exchange holds for dead: this member asks them itself
 MAX_CORRECTIONS = 4  # updates that are put right by one packet
 EXCHANGES = (Sync, BucketRecords, RecordRequest, Records)  # whose updates are states of the other side, not news
 
@@ -236,7 +238,7 @@
         if better:
             view.counts["corrected"] += 1
             self._send(sender, Gossip(), better)
-        self._look_at_suspects(now)
+        self._look_at_suspects(now, TESTED_AFTER_EXCHANGE if sync else 0)
 
     def _same_form(self, update: Update) -> Update:
         """What is known here of the subject of an update, short if that was."""
@@ -276,7 +278,7 @@
                 self._answer_digests(now, sender, body)
             case BucketRecords():
                 self._take_buckets(now, sender, body, packet.updates, believed)
-                self._look_at_suspects(now)
+                self._look_at_suspects(now, TESTED_AFTER_EXCHANGE)
             case RecordRequest():
                 self._answer_records(now, sender, body)
             case _:
@@ -366,7 +368,10 @@
                 self._next_join = now + 5 * self._setup.join_every
         gone = self.view.table.count(Status.DEAD)
         if self._active and gone and self._rng.random() < CONTACTS * gone / self.view.members:
-            self._probe(now, self._rng.choice(self.view.table.of(Status.DEAD)), Why.BACK)
+            # The smaller side of a cut asks several at a time, so that all of the larger one soon hear what to refute.
+            several = min(MAX_BACK, gone, 1 + gone // self.view.members)
+            for name in self._rng.sample(self.view.table.of(Status.DEAD), several):
+                self._probe(now, name, Why.BACK)
 
     def _keep_house(self, now: float) -> None:
         view = self.view
--- a/chutepin/cluster/gossip.py
+++ b/chutepin/cluster/gossip.py
@@ -16,7 +16,7 @@
 
 REPEATS = 4  # times the logarithm of the number of members
 ROUTINE_REPEATS = 6  # at the most, of what is not urgent: e^-6, one member of 400, misses it and learns it by repair
-LEAST_REPEATS = 3  # however many updates wait: e^-3, one member of 20, is left to repair
+LEAST_REPEATS = 2  # however many updates wait: e^-2, one member of seven, is left to repair
 PRESSURE = 512  # updates times repeats that may wait before the repeats shrink
 MAX_WAITING = 4096  # updates that wait; beyond that the one told most often goes
 SHORTEST_UPDATE = 12  # bytes
--- a/chutepin/cluster/view.py
+++ b/chutepin/cluster/view.py
@@ -121,7 +121,8 @@
             if member.record.address != update.address or update.incarnation < member.record.incarnation:
                 return Claim.STALE
             if not (member.record.status is Status.SUSPECT and now - member.since >= BELIEVED_AFTER):
-                update = update._replace(status=Status.SUSPECT)
+                # Not told on: after a cut each side holds all of the other for dead, and asks them itself.
+                update, spread = update._replace(status=Status.SUSPECT), False
         old, since = (member.record, member.since) if member is not None else (None, now)
         claim = self.table.put(now, update)
         if claim is Claim.NEW:
