--- a/chutepin/lab/simulator.py
+++ b/chutepin/lab/simulator.py
@@ -15,14 +15,14 @@
 
 from ..cluster.detector import Answer, Detector, Effect, Send
 from ..cluster.frames import cluster_id, decode, encode, stream_frame
-from ..cluster.messages import Gossip, Packet
-from ..cluster.records import Record, Status
+from ..cluster.messages import BucketRecords, Gossip, Packet
+from ..cluster.records import Record, ShortRecord, Status, Update
 from ..cluster.view import Persist, Tell
 from ..config import Address
 from ..config.cluster import ClusterSetup
 from .faults import Fault, Schedule
-from .history import History, Seen, Shown, Truth
-from .scale.traffic import Direction, Kind, TrafficMeter
+from .history import History, Repair, Seen, Shown, Truth
+from .scale.traffic import Direction, Kind, Span, TrafficMeter
 
 BUFFER = 256  # datagrams that wait in a socket's buffer
 TURN = 0.00005  # seconds that a member takes for a datagram
@@ -113,6 +113,9 @@
             self.now = at
             work(*arguments)
         self.history.repeats = max(self._told.values(), default=0)
+        if self._meter is not None:
+            span = Span(0, int(self.schedule.seconds))
+            self.history.peak = max(self._meter.rates(self.hosts, span, Direction.SENT), default=0.0)
         return self.history
 
     def _start(self, name: str) -> None:
@@ -215,7 +218,7 @@
         assert detector is not None
         answer = None
         began = self._cpu()
-        effects, due = detector.take(), detector.wake_at()
+        effects, due = detector.drain_effects(), detector.wake_at()
         self._spend(host, began)
         for effect in effects:
             answer = self._effect(host, effect) or answer
@@ -262,7 +265,7 @@
             self._events.clear()  # the invariant of traffic says the rest
         self.sent[host.name] += 1
         for update in send.packet.updates:
-            if isinstance(update, Record) and update.status is Status.ALIVE and isinstance(send.packet.body, Gossip):
+            if self._is_news_of_life(update) and isinstance(send.packet.body, Gossip):
                 self._told[host.name, update] += 1
         frame = self._datagram(host, send.packet)
         if (host.name, target.name) in self.truth.cuts:
@@ -271,6 +274,10 @@
             if self._rng.random() >= self.truth.loss:
                 self._at(self.now + self._way(), self._arrive, target, self._through(send.packet), frame)
 
+    @staticmethod
+    def _is_news_of_life(update: Update) -> bool:
+        return isinstance(update, (Record, ShortRecord)) and update.status is Status.ALIVE
+
     def _datagram(self, host: _Host, packet: Packet) -> bytes:
         """Count a datagram that a member sends; its bytes, where they are counted."""
         if self._meter is None:
@@ -331,6 +338,8 @@
         answer = self._receive(target, packet, True)
         if answer is not None:
             self._stream(target, host, answer)
+            if isinstance(answer.body, BucketRecords):
+                self.history.repairs.append(Repair(self.now, host.name, len(answer.updates)))
             self._at(self.now + self._way(), self._answered, host, answer)
 
     def _answered(self, host: _Host, answer: Packet) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -5,9 +5,11 @@
 import random
 
 from chutepin.cluster import Detector, Record, Status
+from chutepin.cluster.anti_entropy import RepairPace
+from chutepin.cluster.budget import ByteBudget
 from chutepin.cluster.health import Health
-from chutepin.cluster.messages import Packet
-from chutepin.cluster.table import Member
+from chutepin.cluster.records import Claim, Update
+from chutepin.cluster.table import Table
 from chutepin.cluster.trials import Accusation
 from chutepin.cluster.view import View
 from chutepin.config.cluster import ClusterSetup
@@ -98,16 +100,76 @@
         return accusation.began + 10 * (super()._deadline(accusation) - accusation.began)
 
 
+class _Gullible(Table):
+    def put(self, now: float, record: Record) -> Claim:
+        member = self.members.get(record.name)
+        if member is None or record.status is not Status.ALIVE:
+            return super().put(now, record)
+        news = record.incarnation != member.record.incarnation
+        self.replace(member, record)
+        return Claim.NEW if news else Claim.KNOWN
+
+
 class TakesBackNews(Detector):
     """It believes whoever spoke last, whatever the incarnation."""
 
-    def _take_updates(self, now: float, packet: Packet, sender: str, believed: bool) -> None:
-        super()._take_updates(now, packet, sender, believed)
-        for update in packet.updates:
-            member: Member | None = self.view.table.members.get(update.name) if isinstance(update, Record) else None
-            if member is not None and isinstance(update, Record) and update.status is Status.ALIVE:
-                self.view.table._account(member.record, update)
-                member.record = update
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self.view.table = _Gullible(setup.members, setup.remember)
+
+
+class RepairsMoveWholeTables(Detector):
+    """Its digests of buckets differ from everybody's, so that all records are moved."""
+
+    def _digests(self, count: int) -> bytes:
+        return bytes(self._rng.randrange(256) for _ in super()._digests(count))
+
+
+class NoRepair(Detector):
+    """It sees that views differ and does nothing."""
+
+    def _compare(self, now: float, sender: str, digest: int) -> None:
+        pass
+
+
+class _Restless(RepairPace):
+    def compare(self, now: float, mine: int, theirs: int, patience: float) -> bool:
+        return mine != theirs
+
+
+class RepairsWithoutPause(Detector):
+    """It repairs at each digest that differs, also where gossip is still under way."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self._pace = _Restless(now, setup.sync_every)
+
+
+class _Spendthrift(ByteBudget):
+    def available(self, now: float) -> int:
+        return 10**9
+
+
+class _Unpressed(View):
+    def pick(self, room: int) -> list[Update]:
+        return self.queue.pick(room, 10**9)
+
+
+class NoBudget(Detector):
+    """It tells everything for ever, however much waits, and nothing holds it back."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self.view = _Unpressed(self.view.me, setup.members, setup.remember)
+        self._budget = _Spendthrift(now)
+
+
+class NeverForgets(Detector):
+    """It keeps the names of all that ever left."""
+
+    def __init__(self, setup: ClusterSetup, name: str, incarnation: int, now: float, rng: random.Random) -> None:
+        super().__init__(setup, name, incarnation, now, rng)
+        self.view.table.aged = lambda now: []  # type: ignore[method-assign]
 
 
 ALL: tuple[type[Detector], ...] = (
@@ -122,3 +184,11 @@
     SlowToAccuse,
     TakesBackNews,
 )
+
+DISSEMINATION: tuple[type[Detector], ...] = (
+    RepairsMoveWholeTables,
+    NoRepair,
+    RepairsWithoutPause,
+    NoBudget,
+    NeverForgets,
+)
