--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -14,7 +14,7 @@
 from chutepin.cluster.budget import ByteBudget
 from chutepin.cluster.frames import COMPRESSED, MAX_STREAM, VERSION, FrameError, cluster_id, decode, encode
 from chutepin.cluster.gossip import Queue, gossip_interval, limits, repeats
-from chutepin.cluster.messages import Gossip, Packet, Sync
+from chutepin.cluster.messages import Ack, Body, Found, Gossip, Packet, Ping, PingReq, Sync
 from chutepin.cluster.records import ShortRecord, expand, shorten
 from chutepin.cluster.table import LEFT_REMEMBERED
 from chutepin.cluster.transport import Transport
@@ -282,3 +282,24 @@
         if invariant in found:
             return
     raise AssertionError(f"not caught, only {found}")
+
+
+# --- a member that leaves ---
+
+REQUESTS: tuple[Body, ...] = (Ping(1), PingReq(1, "n3"), Ack(1, 0), Found(1, "n3", True, 0), Gossip())
+
+
+@pytest.mark.parametrize("body", REQUESTS, ids=lambda body: type(body).__name__)
+def test_a_leaving_member_is_not_woken_again_and_again(body: Body) -> None:
+    """Asked to test another member it once waited for a time that was over, and so took a whole core until its end."""
+    member = detector(2, 1, 3, 4)
+    member.view.joined = True
+    member.leave(1.0)
+    suspect = record(4)._replace(status=Status.SUSPECT, by="n1")
+    member.receive(1.1, Packet("n2", record(1), 1, 1, 0, body, (suspect,)))
+    now, wakes = 1.1, 0
+    while now < 11.1:
+        now, wakes = member.wake_at(), wakes + 1
+        assert wakes < 200, f"woken {wakes} times until {now}"
+        member.tick(now)
+        member.drain_effects()
