--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -124,7 +124,7 @@
 
 MEMBER = Role(
     "a member",
-    "`cluster/`: SWIM with Lifeguard's changes; every member knows every other; differences by bucket digests where views differ",
+    "`cluster/`: SWIM with Lifeguard's changes; every member knows every other; repair by digests of buckets",
     (
         *_member_costs("", "", MEMBER_LOADS),
         *_member_costs("zone_lost_", ", a zone lost", BAD_HOUR_LOADS),
