Hand-over: a frame's fields are finite, within bounds and typed, or the frame is malformed

Callers saw nothing in service, as no version sends such frames. On a probe: a KEY or ASK with `until` infinite is a key that never expires, a SYNCED with `closed_until` infinite has every unknown work order fail for good, a USE with Infinity raises OverflowError, a zero average in LEARNED is divided by at the successor.

Cause: handover/frames.py converted with float(), int(), str() and bounded nothing; JSON as Python reads it has NaN, Infinity, 1e999 and integers of 400 digits. session.receive moved the state machine by the verb before it decoded the frame, so a malformed SYNCED counted as a whole copy of the keys.

Statistics that do not fit this process are counted as handover.statistics_rejected: that assertion was one a peer could cause, and its test now asserts the count and that nothing changed, for three unfit tables, not one.

--- a/chutepin/broker/peer_exchange.py
+++ b/chutepin/broker/peer_exchange.py
@@ -51,8 +51,11 @@
         return self._decisions.facade.learned()
 
     def adopt(self, learned: dict[str, object]) -> None:
-        """Begin with what another process's module had learned. What is malformed is counted and left."""
-        self._counters.check_invariant(self._decisions.facade.adopt(learned), "adopts what was learned")
+        """Begin with what another process's module had learned. What does not fit this one's settings is left.
+
+        That is no invariant of this process: the other one may be of another version or have other settings."""
+        if not self._decisions.facade.adopt(learned):
+            self._counters.add("handover.statistics_rejected")
 
     def key_replied(self, id: str, key: str, is_granted: bool) -> None:
         """Apply the answer to `PeerProcess.request_key`: the key may be taken, or its record came before."""
--- a/chutepin/facade.py
+++ b/chutepin/facade.py
@@ -215,10 +215,12 @@
                 value: Any = learned[name]
                 if isinstance(current, dict):  # pairs come back from JSON as lists
                     adopted[name] = {key: tuple(v) if isinstance(v, list) else v for key, v in value}
-                else:
-                    kind: Any = type(current)
-                    adopted[name] = kind(value)
-        except (KeyError, TypeError, ValueError):
+                    continue
+                kind: Any = type(current)
+                adopted[name] = kind(value)
+                if isinstance(current, list) and len(value) != len(current):  # one value a class or tenant
+                    return False
+        except (KeyError, TypeError, ValueError, OverflowError):
             return False
         self._policy.adopt(adopted)
         return True
--- /dev/null
+++ b/chutepin/handover/fields.py
@@ -0,0 +1,90 @@
+"""Fields of a hand-over frame, each checked against its type and bound. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, TypeGuard
+
+from ..net.lines import ProtocolError
+
+MAX_COUNT = 2**31 - 1  # of runs, descriptors, protocol versions
+MAX_NUMBER = 2.0**53  # KB and seconds; whole numbers are exact up to here
+MAX_TEXT_CHARACTERS = 1024  # of ids, keys and reasons
+MAX_FINGERPRINT_BYTES = 64
+
+
+class MalformedFrameError(ProtocolError):
+    """A frame that no peer of this version sends; the connection is closed."""
+
+
+def is_number(value: object, minimum: float = 0.0, maximum: float = MAX_NUMBER) -> TypeGuard[int | float]:
+    """Whether a JSON value is a number within these bounds; no boolean, infinity or NaN is."""
+    return isinstance(value, int | float) and not isinstance(value, bool) and minimum <= value <= maximum
+
+
+class Fields:
+    """The fields of one frame. Every method raises MalformedFrameError for a field that is absent or malformed."""
+
+    def __init__(self, verb: str, values: Mapping[str, Any]) -> None:
+        """`verb` names the frame in errors."""
+        self._verb = verb
+        self._values = values
+
+    def text(self, name: str, max_characters: int = MAX_TEXT_CHARACTERS) -> str:
+        """Return text that can be encoded as UTF-8."""
+        value = self._value(name)
+        if not isinstance(value, str) or len(value) > max_characters:
+            raise self._error(name)
+        try:
+            value.encode()
+        except UnicodeEncodeError as error:
+            raise self._error(name) from error
+        return value
+
+    def optional_text(self, name: str) -> str | None:
+        """Return text, or None where the field is null."""
+        return None if self._value(name) is None else self.text(name)
+
+    def count(self, name: str) -> int:
+        """Return a whole number from 0 to MAX_COUNT."""
+        value = self._value(name)
+        if not is_number(value, maximum=MAX_COUNT) or not isinstance(value, int):
+            raise self._error(name)
+        return value
+
+    def number(self, name: str) -> float:
+        """Return a number from 0 to MAX_NUMBER."""
+        value = self._value(name)
+        if not is_number(value):
+            raise self._error(name)
+        return float(value)
+
+    def flag(self, name: str) -> bool:
+        """Return true or false."""
+        value = self._value(name)
+        if not isinstance(value, bool):
+            raise self._error(name)
+        return value
+
+    def fingerprint(self, name: str) -> bytes:
+        """Return a digest, which travels in hexadecimal."""
+        digits = self.text(name, 2 * MAX_FINGERPRINT_BYTES)
+        try:
+            return bytes.fromhex(digits)
+        except ValueError as error:
+            raise self._error(name) from error
+
+    def latin_1(self, name: str, max_bytes: int) -> bytes:
+        """Return bytes that travel as Latin-1 text."""
+        try:
+            return self.text(name, max_bytes).encode("latin-1")
+        except UnicodeEncodeError as error:
+            raise self._error(name) from error
+
+    def _value(self, name: str) -> object:
+        if name not in self._values:
+            raise MalformedFrameError(f"{self._verb} lacks the field {name}")
+        return self._values[name]
+
+    def _error(self, name: str) -> MalformedFrameError:
+        return MalformedFrameError(f"{self._verb} has a malformed field {name}")
--- a/chutepin/handover/frames.py
+++ b/chutepin/handover/frames.py
@@ -1,7 +1,8 @@
 """Frames of a hand-over: a line `VERB LENGTH`, a JSON object of that length, CR LF. Sans-I/O and bounded.
 
-The only module that knows verbs and field names; inside the process messages are the types of `messages`. The first
-frame of a connection names the protocol's version; a peer of another version is rejected without reading on."""
+The only module that knows verbs and field names, but for the learned statistics' (`learned`); inside the process
+messages are the types of `messages`. Every field is checked against its type and bound (`fields`). The first frame of a
+connection names the protocol's version; a peer of another version is rejected without reading on."""
 
 from __future__ import annotations
 
@@ -10,7 +11,10 @@
 
 from ..facade import End
 from ..idempotency import IdempotencyRecord, KeyRequest
-from ..net.lines import LineParser, ProtocolError, line
+from ..net.lines import LineParser, line
+from .fields import Fields
+from .fields import MalformedFrameError as MalformedFrameError
+from .learned import check_learned
 from .messages import (
     Hello,
     Here,
@@ -46,10 +50,6 @@
 )
 
 
-class MalformedFrameError(ProtocolError):
-    """A frame that no peer of this version sends; the connection is closed."""
-
-
 class Frame(NamedTuple):
     """One frame as it was read, its fields not yet checked."""
 
@@ -103,22 +103,28 @@
     )
 
 
-def decode_record(fields: dict[str, Any]) -> IdempotencyRecord:
+def decode_record(values: dict[str, Any]) -> IdempotencyRecord:
     """Return the record of a frame's fields. Raises MalformedFrameError."""
+    fields = Fields("KEY", values)
+    return IdempotencyRecord(
+        key=fields.text("key"),
+        holder_id=fields.text("holder"),
+        expires_at=fields.number("until"),
+        fingerprint=fields.fingerprint("contents"),
+        run_id=fields.optional_text("ran"),
+        outcome=_decode_outcome(fields),
+        result=fields.latin_1("result", MAX_BODY_BYTES),
+    )
+
+
+def _decode_outcome(fields: Fields) -> End | None:
+    word = fields.optional_text("end")
+    if word is None:
+        return None
     try:
-        run_id = fields["ran"]
-        outcome = fields["end"]
-        return IdempotencyRecord(
-            key=str(fields["key"]),
-            holder_id=str(fields["holder"]),
-            expires_at=float(fields["until"]),
-            fingerprint=bytes.fromhex(fields["contents"]),
-            run_id=str(run_id) if run_id is not None else None,
-            outcome=End(outcome) if outcome is not None else None,
-            result=str(fields["result"]).encode("latin-1"),
-        )
-    except (KeyError, ValueError, TypeError) as error:
-        raise MalformedFrameError(f"KEY is malformed: {error!r}") from error
+        return End(word)
+    except ValueError as error:
+        raise MalformedFrameError(f"KEY has an unknown end {word[:20]}") from error
 
 
 def encode(message: Message) -> bytes:  # noqa: C901  one case a message
@@ -152,46 +158,47 @@
             return encode_frame("YOURS")
 
 
-def decode(frame: Frame) -> Message:
+def decode(frame: Frame) -> Message:  # noqa: C901  one case a verb
     """Return the message of a frame. Raises MalformedFrameError."""
-    try:
-        return _decode(frame.verb, frame.fields)
-    except MalformedFrameError:
-        raise
-    except (KeyError, TypeError, ValueError) as error:
-        raise MalformedFrameError(f"{frame.verb} is malformed: {error!r}") from error
-
-
-def _decode(verb: str, fields: dict[str, Any]) -> Message:  # noqa: C901  one case a verb
-    match verb:
+    fields = Fields(frame.verb, frame.fields)
+    match frame.verb:
         case "KEY":
-            return RecordChanged(decode_record(fields))
+            return RecordChanged(decode_record(frame.fields))
         case "DROP":
-            return KeyRemoved(str(fields["key"]))
+            return KeyRemoved(fields.text("key"))
         case "USE":
-            return ProcessUsage(int(fields["running"]), float(fields["memory"]), int(fields["descriptors"]))
+            return ProcessUsage(fields.count("running"), fields.number("memory"), fields.count("descriptors"))
         case "ASK":
-            fingerprint = bytes.fromhex(fields["contents"])
-            return KeyRequest(str(fields["id"]), str(fields["key"]), fingerprint, float(fields["until"]))
+            return KeyRequest(
+                fields.text("id"), fields.text("key"), fields.fingerprint("contents"), fields.number("until")
+            )
         case "TOLD":
-            return KeyReply(str(fields["id"]), str(fields["key"]), bool(fields["may"]))
+            return KeyReply(fields.text("id"), fields.text("key"), fields.flag("may"))
         case "SYNCED":
-            return KeysSynced(float(fields["closed_until"]))
+            return KeysSynced(fields.number("closed_until"))
         case "LEARNED":
-            return LearnedStatistics(fields)
+            return LearnedStatistics(check_learned(frame.fields))
         case "TAKES":
             return TakeoverRequest()
         case "YOURS":
             return TakeoverGranted()
         case "HELLO":
-            return Hello(fields.get("version"))
+            return Hello(fields.count("version"))
         case "HERE":
-            return Here(fields.get("version"))
+            return Here(fields.count("version"))
         case "NO":
-            return Rejection(str(fields.get("why")), is_busy=bool(fields.get("busy")))
-    raise AssertionError(f"{verb} is in VERBS and has no message")
+            return _decode_rejection(fields, frame.fields)
+    raise MalformedFrameError(f"unknown verb {frame.verb[:20]}")
+
+
+def _decode_rejection(fields: Fields, values: dict[str, Any]) -> Rejection:
+    """A process of another version rejects with its version, one that is busy says so."""
+    version = fields.count("version") if "version" in values else None
+    is_busy = fields.flag("busy") if "busy" in values else False
+    return Rejection(fields.text("why"), version, is_busy)
 
 
 def is_compatible_hello(frame: Frame) -> bool:
     """The frame opens a hand-over of this protocol's version."""
-    return frame.verb == "HELLO" and frame.fields.get("version") == PROTOCOL_VERSION
+    version = frame.fields.get("version")
+    return frame.verb == "HELLO" and isinstance(version, int) and version == PROTOCOL_VERSION
--- a/chutepin/handover/messages.py
+++ b/chutepin/handover/messages.py
@@ -10,13 +10,13 @@
 class Hello(NamedTuple):
     """Successor: open a hand-over."""
 
-    version: object  # as received: it may be of any type
+    version: int
 
 
 class Here(NamedTuple):
     """Predecessor: accept it. The listening sockets come with this message."""
 
-    version: object
+    version: int
 
 
 class Rejection(NamedTuple):
@@ -40,7 +40,7 @@
 
 
 class LearnedStatistics(NamedTuple):
-    """Predecessor: what its decision module has learned."""
+    """Predecessor: what its decision module has learned, each value within the bounds of `learned`."""
 
     statistics: dict[str, object]
 
--- a/chutepin/handover/session.py
+++ b/chutepin/handover/session.py
@@ -9,8 +9,10 @@
 from ..clock import Clock
 from ..counters import Counters
 from ..idempotency import IdempotencyRecord, KeyOwnership, KeyRequest
+from .fields import MalformedFrameError
 from .frames import Frame, decode, encode, encode_record
 from .messages import (
+    Here,
     KeyRemoved,
     KeyReply,
     KeysSynced,
@@ -76,6 +78,7 @@
 
 
 NO_USAGE = ProcessUsage(0, 0.0, 0)
+MAX_KEY_LIFETIME_S = 7 * 86400.0  # of a key at the other process, unless this one's settings remember keys for longer
 
 
 class HandoverSession:
@@ -122,15 +125,31 @@
     def receive(self, frame: Frame) -> None:
         """Apply a frame of the other process. Raises ProtocolError."""
         now = self._clock.now()
-        match frame.verb:
-            case "HERE":
+        message = decode(frame)
+        self._check_time(message, now)  # before anything changes: what is malformed ends the link and no more
+        match message:
+            case Here():
                 self.machine.apply(Event.ACCEPTED, now)
-            case "SYNCED":
+            case KeysSynced():
                 self.machine.apply(Event.KEYS_SYNCED, now)
-            case "YOURS":
+            case TakeoverGranted():
                 self.machine.apply(Event.TAKEOVER_GRANTED, now)
         self.machine.extend_deadline(now)
-        self._apply(decode(frame))
+        self._apply(message)
+
+    def _check_time(self, message: Message, now: float) -> None:
+        """Guard against a key that would stay for ever, and against unknown keys that would be refused for good."""
+        match message:
+            case RecordChanged(record):
+                until = record.expires_at
+            case KeyRequest():
+                until = message.expires_at
+            case KeysSynced(in_doubt_until):
+                until = in_doubt_until
+            case _:
+                return
+        if until > now + max(MAX_KEY_LIFETIME_S, self.machine.key_window_s):
+            raise MalformedFrameError(f"a key's time is {until - now:.0f} s ahead")
 
     def _apply(self, message: Message) -> None:
         match message:
@@ -153,7 +172,7 @@
             case TakeoverRequest():
                 self._grant_takeover()
             case _:
-                pass  # HERE and YOURS change the stage alone
+                pass  # these change the stage alone
 
     # The successor:
 
--- a/chutepin/handover/state_machine.py
+++ b/chutepin/handover/state_machine.py
@@ -155,7 +155,7 @@
 
     def __init__(self, key_window_s: float) -> None:
         """`key_window_s`: for how long the longest-lived key is remembered."""
-        self._key_window_s = key_window_s
+        self.key_window_s = key_window_s
         self.stage = Stage.ALONE
         self.deadline = math.inf  # when a predecessor counts as stalled
         self.in_doubt_until = -math.inf  # until then an unknown key may have run where nobody can be asked
@@ -180,7 +180,7 @@
         self.stage = transition.stage
         self.deadline = now + _ENTRY_TIMEOUTS_S.get(self.stage, math.inf)
         if transition.puts_keys_in_doubt:
-            self.in_doubt_until = now + self._key_window_s
+            self.in_doubt_until = now + self.key_window_s
         return True
 
     def extend_deadline(self, now: float) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -217,6 +217,39 @@
     upgrade(test)
 
 
+# Guards against a peer whose malformed frame ends more than its link: the node's service, or its ownership of keys.
+def test_node_serves_on_and_keeps_its_keys_after_each_malformed_frame_of_a_successor() -> None:
+    malformed = [
+        encode_frame("USE", running=float("inf"), memory=0, descriptors=0),
+        encode_frame("KEY", key="k", holder="b", until=float("inf"), contents="", ran="b", end=None, result=""),
+        encode_frame("ASK", id="b", key="k", contents="", until=1e300),
+        encode_frame("TOLD", id=[], key="\ud800", may=float("nan")),
+        b'USE 48\r\n{"running":1e999,"memory":1,"descriptors":10000}\r\n',
+    ]
+
+    async def test(old: Standins, new: Standins, stack: AsyncExitStack) -> None:
+        path = rendezvous_path(old.environ["TMPDIR"], "n3", f"127.0.0.1:{old.port}")
+        balancer = await old.connect()
+        for turn, data in enumerate(malformed):
+            reader, writer = await asyncio.open_unix_connection(path)
+            writer.write(encode_frame("HELLO", version=1))
+            await reader.readuntil(b"}")
+            writer.write(data)
+            await reader.read()  # until the link has ended
+            writer.close()
+            key = f"{turn:032x}"
+            first = balancer.call("work-order", b"order", key)
+            assert (await balancer.answer(first))[0] == b"OK"
+            again = balancer.call("work-order", b"order", key)
+            assert (await balancer.answer(again))[0] == b"OK"
+            assert len(old.runs) == turn + 1
+        await balancer.close()
+        log = await old.leave()
+        assert f"handover.successors={len(malformed)}" in log and "errors=" not in log
+
+    upgrade(test)
+
+
 def test_stopped_successor_fails_no_keyless_request_and_the_predecessor_ends_in_time() -> None:
     async def test(old: Standins, new: Standins, stack: AsyncExitStack) -> None:
         held = await old.connect()
--- a/tests/test_handover_session.py
+++ b/tests/test_handover_session.py
@@ -14,7 +14,7 @@
 
 from chutepin.facade import End
 from chutepin.handover import Delivery, HandoverSession, HandoverStateMachine, ProcessUsage, Stage
-from chutepin.handover.frames import Frame, FrameReader, encode_frame
+from chutepin.handover.frames import Frame, FrameReader, MalformedFrameError, encode_frame
 from chutepin.handover.state_machine import Event
 from chutepin.idempotency import IdempotencyRecord
 
@@ -295,9 +295,12 @@
     ((_, fields),) = [read_one(encode_frame("LEARNED", **learned))]
     pupil.broker.peer_exchange.adopt(fields)
     assert pupil.broker.peer_exchange.learned() == learned
-    with pytest.raises(AssertionError):
-        pupil.broker.peer_exchange.adopt({"work": "much"})
-    assert pupil.broker.peer_exchange.learned() == learned
+    unfit: list[dict[str, object]] = [{"work": "much"}, {**fields, "work": [1.0]}, {**fields, "served": []}]
+    for malformed in unfit:
+        rejected = pupil.counters.counts["handover.statistics_rejected"]
+        pupil.broker.peer_exchange.adopt(malformed)
+        assert pupil.counters.counts["handover.statistics_rejected"] == rejected + 1
+        assert pupil.broker.peer_exchange.learned() == learned
 
 
 def read_one(data: bytes) -> Frame:
@@ -319,3 +322,41 @@
     core.broker.peer_exchange.set_peer_usage(0, 1e9)
     core.pick("b", "position-push")
     assert core.words("b") == ["refused"]
+
+
+def frame_of(verb: str, **fields: object) -> Frame:
+    return Frame(verb, fields)
+
+
+FAR = 1_000_000.0 + 8 * 86400.0  # more than a week after the clock of `Hand`
+MALFORMED_FRAMES = {
+    "KEY until never": frame_of("KEY", key="k", holder="b", until=FAR, contents="", ran="b", end=None, result=""),
+    "KEY until no number": frame_of(
+        "KEY", key="k", holder="b", until=float("nan"), contents="", ran=None, end=None, result=""
+    ),
+    "ASK until never": frame_of("ASK", id="b", key="k", contents="", until=FAR),
+    "ASK until infinity": frame_of("ASK", id="b", key="k", contents="", until=float("inf")),
+    "SYNCED closed for good": frame_of("SYNCED", closed_until=FAR),
+    "SYNCED closed until infinity": frame_of("SYNCED", closed_until=float("inf")),
+    "USE of infinity": frame_of("USE", running=float("inf"), memory=0.0, descriptors=0),
+    "LEARNED no number": frame_of("LEARNED", share=float("nan")),
+    "HERE of no version": frame_of("HERE", version=float("inf")),
+}
+
+
+# Guards against a key that never expires, unknown keys refused for good, and a stage that a malformed frame moves.
+@pytest.mark.parametrize("name", MALFORMED_FRAMES)
+@pytest.mark.parametrize("stage", [Stage.SENDING_KEYS, Stage.HELLO_SENT, Stage.RECEIVING_KEYS])
+def test_malformed_frame_changes_nothing_but_that_it_ends_the_link(stage: Stage, name: str) -> None:
+    process = Process()
+    process.core.pick("a", "work-order", key="held")
+    process.session.machine.stage = stage
+    records = dict(process.core.broker.keys.records)
+    ownership = process.session.ownership(process.core.hand.time)
+    with pytest.raises(MalformedFrameError):
+        process.session.receive(MALFORMED_FRAMES[name])
+    assert process.session.machine.stage is stage
+    assert process.core.broker.keys.records == records
+    assert process.session.ownership(process.core.hand.time) is ownership
+    process.core.end("a")
+    assert process.core.words("a") == ["served"]
