Platform bytes: a link is lost while its last command is in doubt, however slow the machine

Seen: test_platform_bytes.py timed out once ("it never came to hold", 60 s, at a load of 9.5), not traced.

Cause, by a run: a stall of 0.4 s put after each of the 18 waits of the test in turn fails it at two, and at no other: between an EXEC and the loss of its link. The node's next METER is answered in that time and confirms the EXEC; it is in no doubt then, so no KILL or second EXEC is written, and the test waits for them for ever. The rig, not the node: a confirmed command must not be asked for. With a process that is blocked for as long (both stall together) all pass.

Change: the stand-in answers no METER from the command until the link is lost, so that the command is in doubt as the test means it. A failure prints answers, commands, links and reports so far. What is kept is unchanged.

--- a/tests/data/make_platform_bytes.py
+++ b/tests/data/make_platform_bytes.py
@@ -39,6 +39,14 @@
         await asyncio.sleep(0.005)
 
 
+def _describe(world: World, answers: dict[str, list[str]]) -> str:
+    """What a wait that failed needs to be understood."""
+    return (
+        f"answers so far: {list(answers)}; to the executor: {world.executor[-8:]}; METERs {len(world.meters)}; "
+        f"links {len(world.links)}; to the records {world.records[-3:]}; reports {len(world.control)}"
+    )
+
+
 async def run_program(environ: dict[str, str], *arguments: str) -> tuple[int, str, str]:
     """The exit code, output and errors of the program run to its end."""
     process = await asyncio.create_subprocess_exec(
@@ -92,6 +100,7 @@
         self.name = "n3"
         self.arguments: tuple[str, ...] = ()
         self.welcomes = True
+        self.holds_meters = False  # METERs are not answered: what the node has sent stays unconfirmed
         self.executor: list[str] = []  # messages, without METERs
         self.meters: list[str] = []
         self.notices = 0
@@ -168,6 +177,11 @@
         head = " ".join(map(str, (word, self.notices, *rest, len(body))))
         self.links[-1].write(head.encode() + b"\r\n" + body + b"\r\n")
 
+    def cut_unconfirmed(self) -> None:
+        """Lose the executor's link while its last commands are in doubt; the next link answers METERs again."""
+        self.links[-1].transport.abort()
+        self.holds_meters = False
+
     async def got(self, message: str) -> None:
         """Wait for a message to the executor."""
         await until(lambda: message in self.executor)
@@ -180,6 +194,8 @@
                     line += (await reader.readexactly(int(words[-1]) + 2)).decode("latin-1")
                 if words[0] == "METER":
                     self.meters.append(line)
+                    if self.holds_meters:
+                        continue
                     writer.write(f"METERS {words[1]} 0.1 1\r\n".encode())
                     continue
                 if words[0] == "JOIN":
@@ -212,12 +228,22 @@
                 writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
 
 
+@asynccontextmanager
+async def _shown_where_it_fails(world: World, answers: dict[str, list[str]]) -> AsyncIterator[None]:
+    """Print what had happened where a wait fails."""
+    try:
+        yield
+    except (AssertionError, TimeoutError):
+        print(_describe(world, answers))
+        raise
+
+
 async def _served(found: dict[str, Any]) -> None:
     """Answers, commands, calls to the records, reports and health checks of one node."""
     world = World()
     world.name, world.welcomes = "n 3/\u00e9", False
     answers: dict[str, list[str]] = {}
-    async with world.running():
+    async with world.running(), _shown_where_it_fails(world, answers):
         balancer = await world.connect()
         await until(lambda: world.links and world.control)
         balancer.writer.write(array(b"RPC.HEALTH", b"1", b""))
@@ -269,18 +295,20 @@
         world.notify("EXIT", id, "complete", 10, body=b"part of it")
         answers["served without the call"] = await balancer.next()
 
+        world.holds_meters = True  # else a METERS would confirm the EXEC before a slow machine loses the link
         id = balancer.call(7, "work-order", b"in doubt", f",d=14000,k={KEY[::-1]}")
         await until(lambda: any(m.startswith(f"EXEC {id}") for m in world.executor))
-        world.links[-1].transport.abort()
+        world.cut_unconfirmed()
         await world.got(f"KILL {id}\r\n")  # asks whether it was begun; it was
         await world.got(f"WAKE {id}\r\n")
         world.notify("EXIT", id, "complete", 10, body=b"woken")
         answers["served over a lost link"] = await balancer.next()
 
+        world.holds_meters = True
         id = balancer.call(25, "work-order", b"not read", f",d=14000,k={KEY[1:]}0")
         await until(lambda: any(m.startswith(f"EXEC {id}") for m in world.executor))
         world.silent.add(id)
-        world.links[-1].transport.abort()
+        world.cut_unconfirmed()
         await until(lambda: sum(m.startswith(f"EXEC {id}") for m in world.executor) == 2)
         world.notify("EXIT", id, "complete", 10, body=b"begun again")
         answers["served by a run that was told twice"] = await balancer.next()
