Decision: the end of a hang is announced at once, not by a turn that may never come

Callers saw: a node that had recovered from a hang went on announcing 0 (1 for a level); who heeds that sends nothing, so nothing corrected it.

Cause: decision/control_loop.py announced only in its periodic turn, and Policy._set_timer asks for no turn without work. An event that takes the turn while the timer is due but late, then the last run's end, then the timer: none is left.

Change: a closure that has ended is announced in the event that ends it. A failing socket test prints the node's log, counters and consumer (amqp.state on SIGUSR1) and the stand-in's tags, window and consumers.

--- a/chutepin/decision/control_loop.py
+++ b/chutepin/decision/control_loop.py
@@ -23,11 +23,15 @@
         self._server = server
         self._endings = endings
         self._limit_raised_at = -math.inf
+        self._closure_announced = False  # callers were told to send nothing
 
     def run(self) -> None:
         """Adjust everything to the time that has passed, if the interval has."""
         server = self._server
         if server.now < self.last_run_at + CONTROL_INTERVAL_S:
+            if self._closure_announced and not self._is_closed():
+                # At once: where no work is left no timer comes, and callers that send nothing would never be told.
+                self.announce()
             return
         elapsed = min(MAX_STEP_S, server.now - self.last_run_at)
         self.last_run_at = server.now
@@ -63,7 +67,8 @@
         if signal is LoadSignal.NONE:
             return
         share = server.announcement.share
-        if server.progress.hung or server.drain.is_begun:
+        self._closure_announced = self._is_closed()
+        if self._closure_announced:
             share = 0.0
         value = share
         if signal is LoadSignal.LEVEL:
@@ -73,6 +78,10 @@
         if server.announcement.set_value(value):
             server.actions.append(Announce(server.announcement.value))
 
+    def _is_closed(self) -> bool:
+        """Whether callers are to send nothing."""
+        return self._server.progress.hung or self._server.drain.is_begun
+
     def _credit(self) -> float:
         """The most requests that a caller may have outstanding here.
 
--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -29,7 +29,7 @@
 from ...logs import Log
 from ..lines import ProtocolError
 from .requests import request_from
-from .session import Content, Session, State
+from .session import Content, Session, State, consumer_tag
 
 MAX_UNSENT_BYTES = 2**20  # that the AMQP broker may leave unread before the link is given up
 MIN_QUEUE_PAUSE_S = 0.25  # that a queue is left alone after a refusal, at least
@@ -69,6 +69,7 @@
         self._resume_at = [0.0] * len(config.queues)  # when each queue may be consumed again
         self._leaving = False
         self._link: asyncio.WriteTransport | None = None
+        self._session: Session | None = None  # of the present link
         self._weights = sorted(cls.priority_weight for cls in broker.classes.values())
 
     def delivered(self, session: Session, content: Content) -> None:
@@ -150,7 +151,7 @@
                     self.broker.caller_disconnected(id)
 
     def update_consumption(self, session: Session) -> None:
-        """Apply the window and the pauses of queues. The announced value is the window, 0 closes it."""
+        """Apply the window that the announced value allows, and the pauses of queues."""
         self._open = {id: d for id, d in self._open.items() if d.tag in d.session.unsettled}
         value, now = self.broker.value, self.clock.now()
         if not self.broker.started:  # nothing could run yet
@@ -175,6 +176,22 @@
         unsent = self._link is not None and self._link.get_write_buffer_size() > 0
         return not unsent and not any(delivery.tag in delivery.session.unsettled for delivery in self._open.values())
 
+    def describe(self) -> dict[str, object]:
+        """Return what the consumer is doing, for an operator: why a queue is not consumed shows here."""
+        now = self.clock.now()
+        pauses = [f"{consumer_tag(index)}:{at - now:.1f}s" for index, at in enumerate(self._resume_at) if at > now]
+        fields: dict[str, object] = {
+            "link": "none" if self._session is None else self._session.state.name.lower(),
+            "value": self.broker.value,
+            "in_hand": len(self._open),
+            "paused": " ".join(pauses) or "none",
+        }
+        if self._session is not None:
+            fields["window"] = self._session.window
+            fields["consuming"] = " ".join(map(consumer_tag, sorted(self._session.consuming))) or "none"
+            fields["unsettled"] = len(self._session.unsettled)
+        return fields
+
     async def run(self) -> None:
         """Connect, and again whenever the link is lost, until cancelled.
 
@@ -205,6 +222,7 @@
 
         session = Session(self.config, write, self.delivered, self.counters)
         self._link = writer.transport
+        self._session = session
         before = self._settlements()
         try:
             session.start()
@@ -224,6 +242,7 @@
             else:
                 writer.transport.abort()
             self._link = None
+            self._session = None
             self.lost(session)
         return self._settlements() > before
 
--- a/chutepin/net/amqp/session.py
+++ b/chutepin/net/amqp/session.py
@@ -44,6 +44,11 @@
     parts: list[bytes] = field(default_factory=list)
 
 
+def consumer_tag(index: int) -> str:
+    """Return the tag under which a queue is consumed, by the queue's place in the configuration."""
+    return f"q{index}"
+
+
 class Session:
     """The protocol of one link, without a socket: what to write, and the complete deliveries."""
 
@@ -61,7 +66,7 @@
         self.frame_max = MIN_FRAME_BYTES
         self.heartbeat = 0
         self.unsettled: set[int] = set()
-        self._window = 0
+        self.window = 0  # unsettled deliveries that the broker was last allowed
         self.consuming: set[int] = set()  # queues by their place in the configuration
 
     def start(self) -> None:
@@ -85,8 +90,8 @@
 
     def set_window(self, count: int) -> None:
         """Allow this many unsettled deliveries. 0 would mean no limit to the broker and is never sent."""
-        if self.state is State.READY and count != self._window and count > 0:
-            self._window = count
+        if self.state is State.READY and count != self.window and count > 0:
+            self.window = count
             self.send(commands.Basic.Qos(prefetch_count=count, global_=True))
 
     def consume(self, index: int) -> None:
@@ -94,13 +99,13 @@
         if self.state is State.READY and index not in self.consuming:
             self.consuming.add(index)
             name = self._config.queues[index].name
-            self.send(commands.Basic.Consume(queue=name, consumer_tag=f"q{index}", nowait=True))
+            self.send(commands.Basic.Consume(queue=name, consumer_tag=consumer_tag(index), nowait=True))
 
     def pause(self, index: int) -> None:
         """Ask for no more deliveries of a queue; those on their way still come."""
         if self.state is State.READY and index in self.consuming:
             self.consuming.discard(index)
-            self.send(commands.Basic.Cancel(consumer_tag=f"q{index}", nowait=True))
+            self.send(commands.Basic.Cancel(consumer_tag=consumer_tag(index), nowait=True))
 
     def publish(self, queue: str, properties: commands.Basic.Properties, data: bytes) -> None:
         """Publish a message to a queue, by the default exchange."""
@@ -150,8 +155,8 @@
                 self.send(commands.Channel.Open())
                 self.state = State.CHANNEL
             case commands.Channel.OpenOk() if self.state is State.CHANNEL:
-                self._window = self._config.prefetch
-                self.send(commands.Basic.Qos(prefetch_count=self._window, global_=True))
+                self.window = self._config.prefetch
+                self.send(commands.Basic.Qos(prefetch_count=self.window, global_=True))
                 self.state = State.WINDOW
             case commands.Basic.QosOk() if self.state in (State.WINDOW, State.READY):
                 self.state = State.READY
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -228,8 +228,10 @@
         )
 
     def print_state(self) -> None:
-        """On SIGUSR1: the counters, who is connected most, and the descriptors."""
+        """On SIGUSR1: the counters, the AMQP consumer, who is connected most, and the descriptors."""
         self.print_counters()
+        if self.consumer is not None:
+            self.log.always("amqp.state", **self.consumer.describe())
         addresses, blocks = self.front.table.top(MAX_TOP_ADDRESSES)
         self.log.always(
             "admission.top",
--- a/chutepin/testbench/standins/platform.py
+++ b/chutepin/testbench/standins/platform.py
@@ -26,6 +26,8 @@
 ROOT = Path(__file__).parents[3]
 EXAMPLE: dict[str, Any] = json.loads((ROOT / "deploy" / "example.json").read_text())
 PATIENCE = 60.0  # seconds
+STATE_WAIT_S = 0.5  # for the program to write its state to its log
+MAX_SHOWN_LOG = 8000  # characters
 PORTS = range(12_000, 30_000)  # that `free_port` gives; who runs rigs side by side gives each its own
 _given: set[int] = set()
 
@@ -78,9 +80,31 @@
         self.environ |= environ or {}
         self._arguments = arguments
         await self.spawn()
-        stack.push_async_callback(self.kill)
+        stack.push_async_exit(self._show_and_kill)
         await eventually(lambda: self.joins)
 
+    async def _show_and_kill(self, _: object, error: BaseException | None, trace: object) -> None:
+        """End the program; where a test failed, show first what it and the stand-ins did."""
+        if error is not None:
+            print(await self.describe())
+        await self.kill()
+
+    async def describe(self) -> str:
+        """End the program and return the last of its log, with its counters, and what came to the stand-ins."""
+        process = self.process
+        seen = (
+            f"runs={len(self.runs)} killed={len(self.killed)} calls={len(self.calls)} reports={len(self.reports)} "
+            f"joins={self.joins} notices={len(self.notices)} exit={process.returncode if process else None}"
+        )
+        if process is None or process.stderr is None:
+            return f"stand-ins: {seen}"
+        if process.returncode is None:
+            process.send_signal(signal.SIGUSR1)
+            await asyncio.sleep(STATE_WAIT_S)
+        await self.kill()
+        log = (await process.stderr.read()).decode(errors="replace")
+        return f"stand-ins: {seen}\nthe end of the program's log:\n{log[-MAX_SHOWN_LOG:]}"
+
     async def spawn(self) -> None:
         """Start the program, also once more after its end."""
         command = (sys.executable, "-m", "chutepin", *self._arguments)
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -11,6 +11,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, replace
 from pathlib import Path
+from typing import Protocol
 
 import pytest
 from hypothesis import strategies as st
@@ -45,6 +46,23 @@
     raw_header: bytes = b""
 
 
+class LinkTransport(Protocol):
+    """As much of a transport as the stand-in needs."""
+
+    def abort(self) -> None: ...
+
+    def is_closing(self) -> bool: ...
+
+
+class LinkWriter(Protocol):
+    """As much of a stream's writer as the stand-in needs."""
+
+    @property
+    def transport(self) -> LinkTransport: ...
+
+    def write(self, data: bytes) -> None: ...
+
+
 class StandinBroker:
     """Enough of a broker: queues, prefetch, acknowledgements that it may lose, links that it may cut."""
 
@@ -59,7 +77,8 @@
         self.port = 0
         self.out: dict[int, Message] = {}
         self._queues: dict[str, str] = {}  # queue: consumer tag
-        self._writer: asyncio.StreamWriter | None = None
+        self._writer: LinkWriter | None = None
+        self._content: commands.Basic.Publish | None = None  # that a reply is being received for
         self._tag, self._window = 0, 0
 
     async def start(self, stack: AsyncExitStack) -> None:
@@ -117,27 +136,45 @@
 
     async def _link(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         assert await reader.readexactly(8) == PROTOCOL_HEADER
-        self.cut()
-        self._writer, self._tag = writer, 0
-        self.links += 1
-        writer.write(frame.marshal(commands.Connection.Start(mechanisms="PLAIN AMQPLAIN"), 0))
-        parser, content = FrameParser(), None
+        self.begin(writer)
+        parser = FrameParser()
         while data := await self._read(reader):
             while self.deaf:
                 await asyncio.sleep(0.01)
             parser.feed(data)
-            while self._writer is writer and (got := parser.next()) is not None:
-                value = decode(got[2])
-                self.beats += got[0] == 8
-                if isinstance(value, commands.Basic.Publish):
-                    content = value
-                elif isinstance(value, header.ContentHeader) and content is not None:
-                    self.replies.append((str(content.routing_key), value.properties or Properties(), b""))
-                elif isinstance(value, body.ContentBody):
-                    queue, properties, got_so_far = self.replies.pop()
-                    self.replies.append((queue, properties, got_so_far + (value.value or b"")))
-                elif isinstance(value, base.Frame):
-                    self._method(writer, value)
+            self.receive(parser, writer)
+
+    def begin(self, writer: LinkWriter) -> None:
+        """Serve a new link in place of the old one."""
+        self.cut()
+        self._writer, self._tag, self._content = writer, 0, None
+        self.links += 1
+        writer.write(frame.marshal(commands.Connection.Start(mechanisms="PLAIN AMQPLAIN"), 0))
+
+    def receive(self, parser: FrameParser, writer: LinkWriter) -> None:
+        """Take in the frames that a parser has, for as long as its link is the present one."""
+        while self._writer is writer and (got := parser.next()) is not None:
+            value = decode(got[2])
+            self.beats += got[0] == 8
+            if isinstance(value, commands.Basic.Publish):
+                self._content = value
+            elif isinstance(value, header.ContentHeader) and self._content is not None:
+                self.replies.append((str(self._content.routing_key), value.properties or Properties(), b""))
+            elif isinstance(value, body.ContentBody):
+                queue, properties, got_so_far = self.replies.pop()
+                self.replies.append((queue, properties, got_so_far + (value.value or b"")))
+            elif isinstance(value, base.Frame):
+                self._method(writer, value)
+
+    def describe(self) -> str:
+        """What a failure needs to be understood."""
+        unsettled = [message for message in self.messages if not message.settled]
+        return (
+            f"stand-in broker: link {self.links}, lost {self.lost}, deaf {self.deaf}, window {self._window}, "
+            f"consumers {self._queues}, cancelled {len(self.cancelled)}, settlements {self.settlements}, "
+            f"last tag {self._tag}, open tags {sorted(self.out)[:20]} of {len(self.out)}, "
+            f"not settled {len(unsettled)} of {len(self.messages)}, delivered {[m.deliveries for m in unsettled[:20]]}"
+        )
 
     async def _read(self, reader: asyncio.StreamReader) -> bytes:
         try:
@@ -145,7 +182,7 @@
         except OSError:
             return b""
 
-    def _method(self, writer: asyncio.StreamWriter, method: base.Frame) -> None:
+    def _method(self, writer: LinkWriter, method: base.Frame) -> None:
         def answer(value: base.Frame, channel: int) -> None:
             writer.write(frame.marshal(value, channel))
 
@@ -193,6 +230,10 @@
 ) -> None:
     """Run a test with the real program between the stand-ins, its AMQP front on."""
 
+    async def show_broker(_: object, error: BaseException | None, trace: object) -> None:
+        if error is not None:
+            print(broker.describe())
+
     async def run() -> None:
         async with AsyncExitStack() as stack:
             await broker.start(stack)
@@ -202,6 +243,7 @@
             text = (ROOT / "deploy" / "amqp.toml").read_text()
             text = text.replace("prefetch = 32", f"prefetch = {prefetch}")
             path.write_text(text.replace("127.0.0.1:5672", f"127.0.0.1:{broker.port}"))
+            stack.push_async_exit(show_broker)
             await world.start(stack, "--amqp", str(path), environ=SECRET)
             await test(world, broker)
 
--- /dev/null
+++ b/tests/test_amqp_liveness.py
@@ -0,0 +1,153 @@
+"""Consumer, session and core against the stand-in broker without sockets: whatever is lost, every message is settled.
+
+Time is the core's; the link loses what is on its way between any two frames, and runs hang."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from typing import cast
+
+import pytest
+
+from chutepin.config import load_amqp
+from chutepin.decision import simulator_protocol as wire
+from chutepin.logs import Log
+from chutepin.net.amqp import Consumer, FrameParser, Session
+from chutepin.net.amqp.consumer import CHECK_INTERVAL_S
+
+from .helper import ENV, ROOT, Core
+from .test_amqp import ORDERS, SECRET, STATUS, LinkWriter, Message, StandinBroker
+
+SEEDS = range(120)
+STEPS = 160
+SETTLE_S = 30.0  # in which all is settled once nothing is lost and nothing hangs any more
+RUN_S = 0.05  # that a run takes unless runs hang
+
+
+class Pipe:
+    """One direction's end of a link: frames that were written and have not been received."""
+
+    def __init__(self) -> None:
+        self.frames: deque[bytes] = deque()
+        self.is_closed = False
+
+    def write(self, data: bytes) -> None:
+        """Take bytes, unless the link is closed."""
+        if not self.is_closed:
+            self.frames.append(data)
+
+    def abort(self) -> None:
+        """Close the link and lose what is on its way."""
+        self.is_closed = True
+        self.frames.clear()
+
+    def is_closing(self) -> bool:
+        """Whether the link is closed."""
+        return self.is_closed
+
+    @property
+    def transport(self) -> Pipe:
+        """As a stream's writer has it."""
+        return self
+
+
+class World:
+    """One seed's life: a node's core and consumer, the broker, and the link between them."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.core = Core()
+        self.core.ports.done = []
+        config = load_amqp(str(ROOT / "deploy" / "amqp.toml"), wire.parse_settings(ENV), SECRET)
+        self.consumer = Consumer(
+            config, self.core.broker, self.core.hand.clock, self.core.counters, Log(self.core.hand.clock), seed
+        )
+        self.broker = StandinBroker(seed)
+        self.messages: list[Message] = []
+        self.hung_until = 0.0
+        self.started: dict[str, float] = {}  # when each run was first seen
+        self.link()
+
+    def link(self) -> None:
+        """Open a new link."""
+        self.to_node, self.to_broker = Pipe(), Pipe()
+        self.session = Session(self.consumer.config, self.to_broker.write, self.consumer.delivered, self.core.counters)
+        self.parser = FrameParser()
+        self.broker.begin(cast("LinkWriter", self.to_node))
+        self.session.start()
+        self.to_broker.frames.popleft()  # the protocol header
+
+    def lose_link(self) -> None:
+        """Lose the link with what is on its way, in both directions, and open the next one."""
+        self.to_node.abort()
+        self.to_broker.abort()
+        self.consumer.lost(self.session)
+        self.link()
+
+    def pass_frames(self, count: int) -> None:
+        """Let each side receive some of what the other wrote."""
+        for _ in range(count):
+            if self.to_node.frames:
+                self.session.received(self.to_node.frames.popleft())
+            if self.to_broker.frames:
+                self.parser.feed(self.to_broker.frames.popleft())
+                self.broker.receive(self.parser, cast("LinkWriter", self.to_node))
+        if self.to_node.is_closed:  # the broker has cut the link
+            self.lose_link()
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass: runs end unless they hang, the consumer looks at its window."""
+        now = self.core.hand.time
+        for id in self.core.running():
+            begun = self.started.setdefault(id, now)
+            if now >= max(self.hung_until, begun + RUN_S):
+                self.core.ports.done.append(("ended", id))
+                self.core.end(id)
+        self.core.pass_time(seconds)
+        self.consumer.update_consumption(self.session)
+
+    def step(self) -> None:
+        """One random step."""
+        choice = self.random.random()
+        if choice < 0.3:
+            queue = self.random.choice([ORDERS, STATUS])
+            number = len(self.messages)
+            self.messages.append(self.broker.put(queue, b"message %d" % number, message_id=f"m{number}"))
+        elif choice < 0.7:
+            self.pass_frames(self.random.randint(1, 12))
+        elif choice < 0.9:
+            self.pass_time(self.random.uniform(0.0, 0.3))
+        elif choice < 0.95:
+            self.hung_until = self.core.hand.time + self.random.uniform(0.0, 8.0)
+        else:
+            self.lose_link()
+
+    def settle(self) -> None:
+        """Let all go on undisturbed."""
+        self.hung_until = 0.0
+        until = self.core.hand.time + SETTLE_S
+        while self.core.hand.time < until and not all(message.settled for message in self.messages):
+            for _ in range(20):
+                self.pass_frames(20)
+                self.pass_time(CHECK_INTERVAL_S / 20)
+
+    def report(self) -> str:
+        """What a failure needs to be understood."""
+        unsettled = [message for message in self.messages if not message.settled]
+        return (
+            f"{len(unsettled)} of {len(self.messages)} not settled; window {self.core.broker.value}, "
+            f"consuming {sorted(self.session.consuming)}, node's open tags {sorted(self.session.unsettled)}, "
+            f"broker's open tags {sorted(self.broker.out)}, state {self.session.state}, "
+            f"counters {self.core.counters.as_line()}"
+        )
+
+
+# Guards against a message that is never settled: a window that stays closed, a queue that is never consumed again.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_every_message_is_settled_once_links_and_runs_go_on(seed: int) -> None:
+    world = World(seed)
+    for _ in range(STEPS):
+        world.step()
+    world.settle()
+    assert all(message.settled for message in world.messages), world.report()
--- a/tests/test_control_loop.py
+++ b/tests/test_control_loop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import replace
 
@@ -46,6 +47,25 @@
     assert decision.SetHealth(True) in policy.handle(12.0, [decision.Finished("a", Outcome.OK)])
 
 
+# Guards against an announced 0 that stays: callers that heed it send nothing, so no event would ever correct it.
+@pytest.mark.parametrize("signal", [LoadSignal.CREDIT, LoadSignal.WEIGHT, LoadSignal.LEVEL], ids=lambda s: s.value)
+def test_end_of_a_hang_is_announced_though_no_work_and_no_timer_is_left(signal: LoadSignal) -> None:
+    policy = started(replace(PLAIN, signal=signal))
+    policy.handle(0.0, [new_request("a", 30.0)])
+    policy.handle(10.0, [decision.TimerFired(0)])
+    assert policy.snapshot().state == "hung"
+    closed = policy.server.announcement.value
+    due = policy.server.timers.armed_for
+    # The timer is late; an arrival takes its turn of the control loop, then the last run ends, then the timer fires.
+    Policy.handle(policy, due + 0.01, [new_request("b", 30.0)])
+    actions = Policy.handle(policy, due + 0.015, [decision.Finished("a", Outcome.OK)])
+    actions += Policy.handle(policy, due + 0.02, [decision.TimerFired(policy.server.timers.token)])
+    assert policy.snapshot().state == "serving"
+    assert policy.server.timers.armed_for == math.inf  # nothing else will happen here
+    assert policy.server.announcement.value != closed
+    assert any(isinstance(action, decision.Announce) for action in actions)
+
+
 def test_hang_is_noticed_without_any_other_event() -> None:
     policy = started()
     policy.handle(0.0, [new_request("a", 30.0)])
