AMQP: a delivery under any consumer tag that is not ours is rejected, the link goes on

Callers saw nothing in service. A delivery under the tag "q²" ended the link with a ValueError, and did so again on each new link: no queue was consumed until that message was gone.

Cause: net/amqp/consumer.py took int(tag[1:]) after str.isdigit(), which takes superscripts and other scripts' digits.

Change: tags are looked up among those that the consumer gave out. tests/test_reader_errors.py draws odd numbers and changed bytes for platform's wire, executor, operators' line, gossip, consensus, hand-over and AMQP: only the reader's own error may escape. It failed here with "invalid literal for int() with base 10: '²'"; the other readers passed as they were (400 examples each).

--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -71,13 +71,14 @@
         self._link: asyncio.WriteTransport | None = None
         self._session: Session | None = None  # of the present link
         self._weights = sorted(cls.priority_weight for cls in broker.classes.values())
+        self._queue_indexes = {consumer_tag(index): index for index in range(len(config.queues))}
 
     def delivered(self, session: Session, content: Content) -> None:
         """Take in a complete delivery. What can never be served is rejected for good: requeued, it would come again."""
-        tag, tags = int(content.deliver.delivery_tag or 0), str(content.deliver.consumer_tag)
-        index = int(tags[1:]) if tags[:1] == "q" and tags[1:].isdigit() else -1
+        tag = int(content.deliver.delivery_tag or 0)
+        index = self._queue_indexes.get(str(content.deliver.consumer_tag))
         try:
-            if not 0 <= index < len(self.config.queues):
+            if index is None:
                 raise ProtocolError("an unknown consumer tag")
             if content.properties is None or content.body_bytes > self.config.max_body:
                 raise ProtocolError("properties that cannot be decoded, or a body that is too long")
