AMQP: the window follows the announced value as the site's callers read it

On a site whose signal is a level an idle node announces 0, which the consumer took for a closed window: no queue was ever consumed. By a weight one delivery was in hand at a time.

Cause: update_consumption took the value for a credit on every site. Found while looking for other ways in which a queue is never consumed again.

Change: consumption_window reads the value by the signal. The test of an idle node failed for the level (assert set() == {0, 1}) and passes for all four signals.

--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -64,6 +64,7 @@
         self.classes: dict[str, RequestClass] = {cls.name: cls for cls in settings.classes}
         self.metrics = RequestMetrics(self.classes)
         self.status = NodeStatus(settings.max_idle_time)
+        self.load_signal = settings.signal  # how callers read the announced value
         self.keys = IdempotencyTable(int(memory * KEY_MEMORY_SHARE))
         self.started = False  # the executor has come up
         self.on_started: Callable[[], None] = lambda: None  # called once the executor is up
--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -26,6 +26,7 @@
 from ...clock import Clock
 from ...config import AmqpConfig, QueueConfig
 from ...counters import Counters
+from ...decision import LoadSignal
 from ...logs import Log
 from ..lines import ProtocolError
 from .requests import request_from
@@ -40,6 +41,24 @@
 READ_BYTES = 65536
 
 
+def consumption_window(signal: LoadSignal, value: float | None, prefetch: int) -> int:
+    """Return how many deliveries may be in hand, 0 for none, by the value that the node announces to its callers.
+
+    A level is the rank below which requests are not to be sent: it closes a part of the window, as a weight does."""
+    if value is None:
+        return prefetch
+    match signal:
+        case LoadSignal.CREDIT:
+            allowed = value
+        case LoadSignal.WEIGHT:
+            allowed = value * prefetch
+        case LoadSignal.LEVEL:
+            allowed = (1.0 - value) * prefetch
+        case LoadSignal.NONE:
+            allowed = prefetch
+    return max(0, min(prefetch, math.ceil(allowed)))
+
+
 @dataclass(slots=True)
 class Delivery:
     """Who gets a request's answer: one delivery on one link."""
@@ -154,10 +173,10 @@
     def update_consumption(self, session: Session) -> None:
         """Apply the window that the announced value allows, and the pauses of queues."""
         self._open = {id: d for id, d in self._open.items() if d.tag in d.session.unsettled}
-        value, now = self.broker.value, self.clock.now()
-        if not self.broker.started:  # nothing could run yet
-            value = 0.0
-        window = self.config.prefetch if value is None else min(self.config.prefetch, math.ceil(value))
+        now = self.clock.now()
+        window = 0  # until the executor is up nothing could run
+        if self.broker.started:
+            window = consumption_window(self.broker.load_signal, self.broker.value, self.config.prefetch)
         session.set_window(window)
         for index, resume_at in enumerate(self._resume_at):
             if window > 0 and not self._leaving and now >= resume_at:
