Broker: past the stop of a process that has handed over nothing is begun

Callers saw: who keeps using a connection after BYE, to a process that has handed over, until that process ends: the last requests ran, a work order among them, and the connection ended without an answer.

Cause: Broker.finish answers all at the stop, but pick went on taking what came in the 50 ms from there to the end.

Ruled out: the drain, whose grace rejects late arrivals.

Change: from the stop on a request is rejected, or failed where its key has run (requests.past_stop).

--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -146,6 +146,11 @@
             verdict = Verdict.FAILED if self._idempotent.has_run(request) else Verdict.REJECTED
             self._refuse(request, caller, verdict, "requests.full" if is_full else "requests.not_taken")
             return
+        if self._schedule.stop is not None and now >= self._schedule.stop:
+            # The process may end before a run does; who still sends here is told that nothing ran.
+            verdict = Verdict.FAILED if self._idempotent.has_run(request) else Verdict.REJECTED
+            self._refuse(request, caller, verdict, "requests.past_stop")
+            return
         ownership = self.peer.ownership(now) if is_new_key else KeyOwnership.OWNED
         if ownership is KeyOwnership.IN_DOUBT:
             self._refuse(request, caller, Verdict.FAILED, "keys.in_doubt")
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -314,3 +314,22 @@
 
 TestRequestLifecycle = RequestLifecycle.TestCase
 TestRequestLifecycle.settings = STEPS
+
+
+# Guards against a run that is begun as the process ends after a hand-over: nobody would answer it.
+@pytest.mark.parametrize(("cls", "key"), [("position-push", None), ("work-order", "k")])
+def test_request_that_comes_past_the_stop_after_a_handover_is_rejected_and_does_not_run(
+    cls: str, key: str | None
+) -> None:
+    core = Core()
+    core.pick("before", cls, key)
+    core.broker.finish(core.hand.time + 1.0)
+    core.pick("meanwhile", "position-push")
+    core.pass_time(1.0)
+    core.pick("late", cls, key and "another key")
+    assert core.ports.ids("exec") == ["before", "meanwhile"]
+    assert core.words("late") == ["refused"]
+    core.pass_time(0.05)
+    assert core.words("before") == core.words("meanwhile") == ["failed"]
+    core.pick("repeat", cls, key)
+    assert core.words("repeat") == (["failed"] if key else ["refused"])
