Signals are ignored once serving has ended: a series no longer changes the exit code

Seen by supervisors: -1, -10 or -15 in place of 0, where a further SIGHUP, SIGUSR1 or SIGTERM met the interpreter's end.

Cause: at its end the interpreter gives each handled signal its default back.

Change: signals.ignore at the end of serve; ignored signals keep that. The test sends series of each signal.

--- a/chutepin/serve.py
+++ b/chutepin/serve.py
@@ -35,3 +35,5 @@
     except KeyboardInterrupt:
         print_line("interrupted")
         return 130
+    finally:
+        signals.ignore()
--- a/chutepin/signals.py
+++ b/chutepin/signals.py
@@ -25,6 +25,14 @@
         signal.signal(number, _record)
 
 
+def ignore() -> None:
+    """Ignore signals from now on: the process is about to exit.
+
+    The interpreter's end gives each signal its default back, and the next of a series would change the exit code."""
+    for number in HANDLED_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _record(number: int, _: FrameType | None) -> None:
     """Note the Unix time of a signal; runs between two steps of whatever is being done."""
     if _pending[number] is None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -34,7 +34,8 @@
 from chutepin.net.resp.timeouts import BYE_GRACE_S, DRAIN_READ_S
 from chutepin.testbench.standins.platform import eventually
 
-from .helper import ENV, Core, Hand
+from .helper import ENV, Core, Hand, Standins
+from .test_node import on_sockets
 from .test_standing import answer_all, asks, call, heard, on_front, on_links
 
 # --- connections that are closed by this end ---
@@ -523,3 +524,21 @@
         await eventually(lambda: not descriptors.in_use)
 
     on_links(test)
+
+
+# Guards against an exit code other than 0 where a signal of a series meets the interpreter's end.
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGUSR1", "SIGTERM"])
+def test_signals_in_series_up_to_the_exit_do_not_change_the_exit_code(name: str) -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        world.stop_ms = 1000
+        world.log = stack.enter_context(open(os.devnull, "wb"))  # each SIGUSR1 writes the state
+        await world.start(stack)
+        assert world.process is not None
+        world.process.send_signal(signal.SIGTERM)
+        while world.process.returncode is None:
+            with suppress(ProcessLookupError):
+                world.process.send_signal(signal.Signals[name])
+            await asyncio.sleep(0.002)
+        assert world.process.returncode == 0
+
+    on_sockets(test)
