Lab: a seeded soak of real nodes through restarts, upgrades, reloads, outages and crowds

Need: known faults of endings showed only over several lives of a node, with clients that go on using their connections.

Two clients at least use their connections until the kill, which comes at stop_ms after SIGTERM; signals come in series at the start, in hand-overs and at the end; crowds hold more connections than there are descriptors, from a process of their own (standins.flood.FloodProcess).

--- a/chutepin/cli/lab.py
+++ b/chutepin/cli/lab.py
@@ -12,7 +12,7 @@
 from chutepin.testbench.checks.membership_invariants import broken
 from chutepin.testbench.faults.schedule import Schedule, draw, load_schedule, smallest
 
-from . import scale
+from . import scale, soak
 from .output import as_json, show_json, show_table
 
 JSON = click.option("--json", "json_asked", is_flag=True, help="Print JSON also on a terminal.")
@@ -30,6 +30,7 @@
 
 
 command.add_command(scale.command)
+command.add_command(soak.command)
 
 
 def schedule_of(name: str, seed: int) -> Schedule:
--- a/chutepin/testbench/standins/flood.py
+++ b/chutepin/testbench/standins/flood.py
@@ -4,7 +4,8 @@
 
 `one` keeps 600 connections from one address, `block` three each from 200 addresses of one block, `spread` the same
 from 200 blocks, `sound` sends one sound request on each of these, and `storm` connects and closes 2,000 times a second.
-It prints what became of its connections as JSON. Addresses are of 127.0.0.0/8 alone."""
+It prints what became of its connections as JSON, at its end or at SIGTERM. Addresses are of 127.0.0.0/8 alone.
+`FloodProcess` runs it beside a test, so that the flood takes no turns of the test's event loop."""
 
 from __future__ import annotations
 
@@ -12,9 +13,12 @@
 import contextlib
 import json
 import os
+import signal
+import sys
 import time
 from collections import Counter
 from collections.abc import Iterator
+from pathlib import Path
 
 import click
 
@@ -22,6 +26,7 @@
 
 HELD = 600  # connections at a time
 STORM = 2000  # a second
+STARTED = "flooding"  # the first line that it prints
 REFUSED = 0.45  # seconds: who is closed later was let in, and made room later
 
 
@@ -43,17 +48,21 @@
         self._sources = sources(kind)
         self.counts: Counter[str] = Counter()
         self.refusals: list[float] = []  # seconds from the connection to its close
+        self._holding: list[asyncio.Task[None]] = []
 
     def stop(self) -> None:
         """End the flood now, before its time."""
         self._end = min(self._end, time.monotonic())
+        for task in self._holding:
+            task.cancel()
 
     async def run(self) -> dict[str, object]:
         """Flood until the end."""
         if self._kind == "storm":
             await self._storm()
         else:
-            await asyncio.gather(*(self._hold() for _ in range(self._held)))
+            self._holding = [asyncio.create_task(self._hold()) for _ in range(self._held)]
+            await asyncio.gather(*self._holding, return_exceptions=True)
         times = sorted(self.refusals)
         return {
             **self.counts,
@@ -78,16 +87,21 @@
             if self._kind == "sound":
                 fields = f"i={os.urandom(8).hex()},s={int(time.time() * 1000)},f=1,t=bernard-lodge,d=1000,m=10"
                 writer.write(array(b"RPC.CALL", b"1", b"position-push", fields.encode(), b"x"))
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(max(0.01, self._end - begun)):
-                    with contextlib.suppress(OSError):  # a reset ends it as well
-                        while await reader.read(4096):
-                            pass
-                    if time.monotonic() - begun < REFUSED:
-                        self.refusals.append(time.monotonic() - begun)
-            writer.transport.abort()
+            try:
+                await self._read_until_closed(reader, begun)
+            finally:
+                writer.transport.abort()
             await asyncio.sleep(0.02)
 
+    async def _read_until_closed(self, reader: asyncio.StreamReader, begun: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.01, self._end - begun)):
+                with contextlib.suppress(OSError):  # a reset ends it as well
+                    while await reader.read(4096):
+                        pass
+                if time.monotonic() - begun < REFUSED:
+                    self.refusals.append(time.monotonic() - begun)
+
     async def _storm(self) -> None:
         """Connect and close, at a rate of its own."""
         begun, number = time.monotonic(), 0
@@ -116,9 +130,55 @@
 @click.argument("kind", type=click.Choice(["one", "block", "spread", "sound", "storm"]))
 @click.argument("port", type=click.IntRange(1, 65535))
 @click.argument("seconds", type=click.FloatRange(0.1, 120))
-def main(kind: str, port: int, seconds: float) -> None:
+@click.option("--held", type=click.IntRange(1, 2000), default=HELD, show_default=True, help="Connections at a time.")
+def main(kind: str, port: int, seconds: float, held: int) -> None:
     """Flood a port of this machine."""
-    click.echo(json.dumps(asyncio.run(Flood(kind, port, seconds).run())))
+
+    async def run() -> dict[str, object]:
+        flood = Flood(kind, port, seconds, held)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, flood.stop)
+        click.echo(STARTED)
+        return await flood.run()
+
+    click.echo(json.dumps(asyncio.run(run())))
+
+
+class FloodProcess:
+    """A flood in a process of its own."""
+
+    def __init__(self, kind: str, port: int, seconds: float, held: int = HELD) -> None:
+        self._arguments = (kind, str(port), str(seconds), "--held", str(held))
+        self._process: asyncio.subprocess.Process | None = None
+        self.report: dict[str, object] = {}  # once it has ended
+
+    async def start(self) -> None:
+        """Start it, and wait until it floods."""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "chutepin.testbench.standins.flood",
+            *self._arguments,
+            cwd=Path(__file__).parents[3],
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert self._process.stdout is not None
+        await self._process.stdout.readline()
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether its time is over."""
+        return self._process is not None and self._process.returncode is not None
+
+    async def stop(self) -> dict[str, object]:
+        """End it; return what became of its connections."""
+        if self._process is None or self._process.stdout is None or self.report:
+            return self.report
+        with contextlib.suppress(ProcessLookupError):
+            self._process.terminate()
+        lines = (await self._process.stdout.read()).splitlines()
+        await self._process.wait()
+        self.report = json.loads(lines[-1])
+        return self.report
 
 
 if __name__ == "__main__":
