Configuration: numbers that no float holds and ports in other digits are told in one line

Seen in no service.

Cause: 0 < raw < inf holds for such a number and float(raw) raises OverflowError; str.isdigit takes digits that int does not.

--- a/chutepin/cli/node_client.py
+++ b/chutepin/cli/node_client.py
@@ -9,6 +9,8 @@
 
 import click
 
+from chutepin.config.checks import is_port
+
 ANSWER_TIMEOUT_S = 5.0
 
 OPS_OPTION = click.option(
@@ -42,7 +44,7 @@
 
 def _answer(ops: str, call: str) -> list[str]:
     host, _, port = ops.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not is_port(port):
         raise NodeRequestError(f"--ops: {ops} is not of the form host:port")
     until, data = time.monotonic() + ANSWER_TIMEOUT_S, b""
     try:
--- a/chutepin/config/checks.py
+++ b/chutepin/config/checks.py
@@ -14,6 +14,8 @@
 SIZE = {"B": 1, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}  # in bytes
 RATE = {"per-s": 1.0, "per-min": 1 / 60}  # events a second
 SHARE = {"%": 0.01}
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 class ConfigError(ValueError):
@@ -90,11 +92,17 @@
 def address(raw: Any, field: str) -> Address:
     """Check an address of the form host:port, with both parts."""
     host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not is_port(port):
         raise ConfigError(f"{field}: not an address of the form host:port")
     return Address(host, int(port))
 
 
+def is_port(port: str) -> bool:
+    """Whether a text is the number of a port, in plain digits."""
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    return is_number and 0 < int(port) <= MAX_PORT
+
+
 def text(raw: Any, name: str) -> str:
     """Check that a value is a text and not empty."""
     if not isinstance(raw, str) or not raw:
--- a/chutepin/config/platform.py
+++ b/chutepin/config/platform.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import sys
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -42,7 +43,7 @@
 
 def positive(raw: Any, field: str) -> float:
     """Check that a value is a finite number above 0. Raises ConfigError."""
-    if isinstance(raw, bool) or not isinstance(raw, (int, float)) or not 0 < raw < float("inf"):
+    if isinstance(raw, bool) or not isinstance(raw, (int, float)) or not 0 < raw <= sys.float_info.max:
         raise ConfigError(f"{field}: not a number above 0")
     return float(raw)
 
--- a/chutepin/decision/simulator_protocol.py
+++ b/chutepin/decision/simulator_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -86,7 +87,7 @@
         if default is None:
             raise WireError(f"missing field '{name}'")
         return default
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not abs(value) < float("inf"):
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not abs(value) <= sys.float_info.max:
         raise WireError(f"field '{name}' is not a finite number")
     return value
 
