--- a/chutepin/decision/process_pauses.py
+++ b/chutepin/decision/process_pauses.py
@@ -1,4 +1,4 @@
-"""Pauses of the process, which show in a timer that comes late.
+"""Pauses of the process (suspended, swapped out, its core taken), which show in a timer that comes late.
 
 Such a pause is no run time, no sign of a hang and no crowding of the cores: counted there, it would halve the limit and
 take a sound server out of service. On a host that is late with every timer, slowness is seen later.
