Test bench: signals to child processes leave their exit codes to asyncio

No caller saw it.

Cause: Process.send_signal, terminate and kill poll the process first. Where it has just ended, the poll collects the exit code, and asyncio's waiting thread reports 255.

Change: testbench.signals looks with waitid and WNOWAIT, which leaves the code where it is, then sends; all rigs and tests use it.

--- a/benchmarks/operation.py
+++ b/benchmarks/operation.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import os
 import random
@@ -23,6 +22,7 @@
 
 from chutepin.handover.frames import FrameReader, encode_record
 from chutepin.idempotency import IdempotencyRecord
+from chutepin.testbench.signals import send_signal
 from chutepin.testbench.standins.known_client import Known
 from chutepin.testbench.standins.platform import EXAMPLE, Balancer, Standins
 
@@ -213,8 +213,7 @@
         await ready(new)
         took.append(time.monotonic() - begun)
         assert old.process is not None
-        with contextlib.suppress(ProcessLookupError):
-            old.process.send_signal(signal.SIGTERM)
+        send_signal(old.process, signal.SIGTERM)
         await old.process.wait()
         worlds.append(new)
         await asyncio.sleep(0.3)
@@ -245,8 +244,7 @@
         def kill(old: Standins, new: Standins, chance: random.Random = chance) -> None:
             def end() -> None:
                 if old.process is not None and old.process.returncode is None:
-                    with contextlib.suppress(ProcessLookupError):
-                        old.process.kill()
+                    send_signal(old.process, signal.SIGKILL)
 
             asyncio.get_running_loop().call_later(0.15 + chance.random() * 0.35, end)
 
--- a/chutepin/testbench/faults/fleet.py
+++ b/chutepin/testbench/faults/fleet.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import os
 import random
 import shutil
@@ -22,6 +21,7 @@
 from chutepin.testbench.checks.history import History, Seen, Shown, Truth
 from chutepin.testbench.faults.relay import Relay
 from chutepin.testbench.faults.schedule import Fault, Schedule
+from chutepin.testbench.signals import send_signal
 from chutepin.testbench.standins.platform import EXAMPLE, Standins, free_port
 
 OBSERVE_INTERVAL_S = 0.25
@@ -52,8 +52,7 @@
         """Send a signal to this very process."""
         if self.running:
             assert self.world.process is not None
-            with contextlib.suppress(ProcessLookupError):
-                self.world.process.send_signal(number)
+            send_signal(self.world.process, number)
 
     async def ask(self, call: str) -> list[str]:
         """The lines of an operator's call; none where it does not answer in time."""
--- a/chutepin/testbench/scale/program.py
+++ b/chutepin/testbench/scale/program.py
@@ -13,6 +13,7 @@
 from chutepin.testbench.scale.guard import cpu_ns
 from chutepin.testbench.scale.hollow import COUNTERS, Death, ViewSummary, digest_shown
 from chutepin.testbench.scale.places import Place
+from chutepin.testbench.signals import kill
 from chutepin.testbench.standins.platform import eventually, free_port
 
 END_BY = 5.0  # seconds after the notice to leave
@@ -86,7 +87,7 @@
             async with asyncio.timeout(END_BY):
                 await process.wait()
         except TimeoutError:
-            process.kill()
+            kill(process)
             await process.wait()
         self._cpu_ended += self._cpu
         self._cpu = 0
--- a/chutepin/testbench/scale/realtime.py
+++ b/chutepin/testbench/scale/realtime.py
@@ -27,6 +27,7 @@
 from chutepin.testbench.scale.virtual import STABLE, Progress
 from chutepin.testbench.scale.worker import LINE
 from chutepin.testbench.scale.workload import Load, Scenario, plan
+from chutepin.testbench.signals import kill
 from chutepin.testbench.standins.platform import ROOT, free_port
 
 HOLLOW_PER_WORKER = 64
@@ -87,7 +88,7 @@
             async with asyncio.timeout(END_BY):
                 await self.process.wait()
         except TimeoutError:
-            self.process.kill()
+            kill(self.process)
             await self.process.wait()
         self._reading.cancel()
 
--- a/chutepin/testbench/soak/play.py
+++ b/chutepin/testbench/soak/play.py
@@ -13,6 +13,7 @@
 from contextlib import AsyncExitStack
 from pathlib import Path
 
+from chutepin.testbench.signals import kill, send_signal
 from chutepin.testbench.standins.flood import FloodProcess
 from chutepin.testbench.standins.platform import ROOT, free_port
 
@@ -88,8 +89,7 @@
                 return
             if step.name == SIGTERM and self.seen.notice_at == math.inf:
                 self.seen.notice_at = time.time()
-            with contextlib.suppress(ProcessLookupError):
-                process.send_signal(signal.Signals[step.name])
+            send_signal(process, signal.Signals[step.name])
 
     async def reload(self) -> None:
         """Move its stand-ins to new addresses and have it read its configuration again."""
@@ -126,8 +126,7 @@
             async with asyncio.timeout(wait_s):
                 await process.wait()
         except TimeoutError:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
+            if kill(process):
                 self.seen.killed_at = time.time()
             await process.wait()
         self.seen.ended_at = time.time()
--- a/chutepin/testbench/standins/flood.py
+++ b/chutepin/testbench/standins/flood.py
@@ -23,6 +23,7 @@
 import click
 
 from chutepin.net.resp import array
+from chutepin.testbench.signals import send_signal
 
 HELD = 600  # connections at a time
 STORM = 2000  # a second
@@ -173,8 +174,7 @@
         """End it; return what became of its connections."""
         if self._process is None or self._process.stdout is None or self.report:
             return self.report
-        with contextlib.suppress(ProcessLookupError):
-            self._process.terminate()
+        send_signal(self._process, signal.SIGTERM)
         lines = (await self._process.stdout.read()).splitlines()
         await self._process.wait()
         self.report = json.loads(lines[-1])
--- a/chutepin/testbench/standins/platform.py
+++ b/chutepin/testbench/standins/platform.py
@@ -22,6 +22,7 @@
 
 from chutepin.net.lines import LineParser, line
 from chutepin.net.resp import RespParser, array
+from chutepin.testbench.signals import kill, send_signal
 
 ROOT = Path(__file__).parents[3]
 EXAMPLE: dict[str, Any] = json.loads((ROOT / "deploy" / "example.json").read_text())
@@ -99,7 +100,7 @@
         if process is None or process.stderr is None:
             return f"stand-ins: {seen}"
         if process.returncode is None:
-            process.send_signal(signal.SIGUSR1)
+            send_signal(process, signal.SIGUSR1)
             await asyncio.sleep(STATE_WAIT_S)
         await self.kill()
         log = (await process.stderr.read()).decode(errors="replace")
@@ -153,18 +154,18 @@
     def hang_up(self) -> None:
         """Have the node read its configuration again."""
         assert self.process is not None
-        self.process.send_signal(signal.SIGHUP)
+        send_signal(self.process, signal.SIGHUP)
 
     async def kill(self) -> None:
         """End the program if it still runs."""
         if self.process is not None and self.process.returncode is None:
-            self.process.kill()
+            kill(self.process)
             await self.process.wait()
 
     async def leave(self) -> str:
         """Tell it to leave; its log."""
         assert self.process is not None and self.process.stderr is not None
-        self.process.send_signal(signal.SIGTERM)
+        send_signal(self.process, signal.SIGTERM)
         log = (await self.process.stderr.read()).decode()
         assert await self.process.wait() == 0, log
         return log
--- a/tests/data/make_platform_bytes.py
+++ b/tests/data/make_platform_bytes.py
@@ -12,6 +12,7 @@
 import json
 import os
 import re
+import signal
 import sys
 import tempfile
 import time
@@ -22,6 +23,7 @@
 
 from chutepin.broker import Answer, Verdict
 from chutepin.net.resp import format_answer
+from chutepin.testbench.signals import kill, send_signal
 from chutepin.testbench.standins.platform import free_port
 
 ROOT = Path(__file__).parents[2]
@@ -143,7 +145,7 @@
                 yield self
             finally:
                 if self.process.returncode is None:
-                    self.process.kill()
+                    kill(self.process)
                 await self.process.wait()
                 for server in servers:
                     server.close()
@@ -334,7 +336,7 @@
         answers["and then"] = await bad.next()
 
         assert world.process is not None
-        world.process.terminate()
+        send_signal(world.process, signal.SIGTERM)
         answers["leaving"] = await balancer.next()
         balancer.writer.close()
         assert await world.process.wait() == 0
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -32,6 +32,7 @@
 from chutepin.net.resp.connection import MESSAGE_TIMEOUT_S
 from chutepin.net.resp.listener import FIRST_MESSAGE_TIMEOUT_S
 from chutepin.net.resp.timeouts import BYE_GRACE_S, DRAIN_READ_S
+from chutepin.testbench.signals import send_signal
 from chutepin.testbench.standins.platform import eventually
 
 from .helper import ENV, Core, Hand, Standins
@@ -534,10 +535,9 @@
         world.log = stack.enter_context(open(os.devnull, "wb"))  # each SIGUSR1 writes the state
         await world.start(stack)
         assert world.process is not None
-        world.process.send_signal(signal.SIGTERM)
+        send_signal(world.process, signal.SIGTERM)
         while world.process.returncode is None:
-            with suppress(ProcessLookupError):
-                world.process.send_signal(signal.Signals[name])
+            send_signal(world.process, signal.Signals[name])
             await asyncio.sleep(0.002)
         assert world.process.returncode == 0
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -18,6 +18,7 @@
 from chutepin.facade import End
 from chutepin.logs import Log
 from chutepin.net.records import RecordsService
+from chutepin.testbench.signals import send_signal
 from chutepin.testbench.standins.flood import FloodProcess
 from chutepin.testbench.standins.known_client import Known
 from chutepin.testbench.standins.platform import Balancer, eventually
@@ -90,7 +91,7 @@
         await client.run(1.0)
         assert client.new.served >= client.new.asked - 1 > 5
         assert world.process is not None
-        world.process.send_signal(signal.SIGUSR1)
+        send_signal(world.process, signal.SIGUSR1)
         held = dict(part.split("=") for part in (await line_with(world, b"descriptors limit")).split()[2:])
         assert 1 <= int(held["records.held"]) <= 64 // 5 and int(held["limit"]) == 64
         for balancer in busy:
@@ -192,7 +193,7 @@
             await balancer.answer(balancer.call("position-push", b"x"))
         assert world.process is not None
         really = len(list(Path(f"/proc/{world.process.pid}/fd").iterdir()))
-        world.process.send_signal(signal.SIGUSR1)
+        send_signal(world.process, signal.SIGUSR1)
         told = {
             name: int(value)
             for name, value in (part.split("=") for part in (await line_with(world, b"descriptors limit")).split()[2:])
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,6 +16,7 @@
 
 from chutepin.handover import Rendezvous, rendezvous_path
 from chutepin.handover.frames import encode_frame
+from chutepin.testbench.signals import kill, send_signal
 from chutepin.testbench.standins.platform import PATIENCE, Balancer, eventually, free_port
 
 from .helper import WINDOW, Standins
@@ -70,7 +71,7 @@
         assert (await call(old, b"ready\n")).startswith("FAILURE no, handing over")
         fresh = [await new.connect() for _ in range(4)]
         assert old.process is not None
-        old.process.send_signal(signal.SIGTERM)
+        send_signal(old.process, signal.SIGTERM)
         for turn in range(120):
             await ask(held if turn < 12 else chance.choice(fresh))  # those cross the farewell
         words = [(await balancer.answer(tag))[0] for balancer, tag, _ in asked]
@@ -122,7 +123,7 @@
         moment = asyncio.create_task(asyncio.sleep(chance.random() * 1.2))
         await moment
         assert old.process is not None
-        old.process.kill()
+        kill(old.process)
         await ready(new)
         other = await new.connect()
         tags = [other.call("work-order", b"order %d" % number, f"{number:032x}", wait=9000) for number in range(8)]
@@ -144,7 +145,7 @@
         there = await new.connect()
         done = await there.answer(there.call("work-order", b"fix it", "ab" * 16))
         assert new.process is not None
-        new.process.kill()
+        kill(new.process)
         await there.close()
         await ready(old)
         back = await old.connect()
@@ -159,7 +160,7 @@
 def test_stopped_predecessor_does_not_block_its_successor_and_unknown_keys_do_not_run() -> None:
     async def test(old: Standins, new: Standins, stack: AsyncExitStack) -> None:
         assert old.process is not None
-        old.process.send_signal(signal.SIGSTOP)
+        send_signal(old.process, signal.SIGSTOP)
         try:
             await new.start(stack, ops=True)
             await ready(new)
@@ -169,7 +170,7 @@
             words = {b.answers[t][0][0] for b, t in zip(balancers, tags, strict=True) if t in b.answers}
             assert words == {b"FAILED"} and not new.runs
         finally:
-            old.process.send_signal(signal.SIGCONT)
+            send_signal(old.process, signal.SIGCONT)
         while not (await call(old, b"ready\n")).startswith("FAILURE no, handing over"):
             await asyncio.sleep(0.05)  # they meet after all
         known = [await new.connect() for _ in range(3)]
@@ -256,7 +257,7 @@
         await new.start(stack, ops=True)
         await ready(new)
         assert old.process is not None and new.process is not None
-        new.process.send_signal(signal.SIGSTOP)
+        send_signal(new.process, signal.SIGSTOP)
         try:
             tags = [held.call("position-push", b"safe"), held.call("work-order", b"order", "ab" * 16)]
             words = [(await held.answer(tag))[0] for tag in tags]
@@ -265,7 +266,7 @@
             assert "keys.not_granted=1" in await old.leave()
             assert asyncio.get_running_loop().time() - begun < 5.0
         finally:
-            new.process.send_signal(signal.SIGCONT)
+            send_signal(new.process, signal.SIGCONT)
         balancer = await new.connect()
         assert (await balancer.answer(balancer.call("work-order", b"order", "ab" * 16)))[0] == b"OK"
         await balancer.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,6 +17,7 @@
 import pytest
 
 from chutepin.net.resp import array
+from chutepin.testbench.signals import send_signal
 from chutepin.testbench.standins.platform import Balancer, eventually
 
 from .helper import ROOT, Standins
@@ -115,7 +116,7 @@
         assert not good.ended
         assert (await good.answer(good.call("position-push", b"x")))[0] == b"OK"
         assert world.process is not None and world.process.stderr is not None
-        world.process.send_signal(signal.SIGUSR1)
+        send_signal(world.process, signal.SIGUSR1)
         lines = [await world.process.stderr.readline() for _ in range(2)]
         assert lines[1].startswith(b"chutepin: counters ")
         assert any(b"balancers." + word in lines[1] for word in (b"too_many=", b"made_room=", b"slow="))
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -30,6 +30,7 @@
 from chutepin.net.records import RecordsService
 from chutepin.net.resp import BYE, RespListener, RespParser, array
 from chutepin.node import Node
+from chutepin.testbench.signals import send_signal
 from chutepin.testbench.standins.platform import EXAMPLE, eventually, free_port
 
 from .helper import Core, Standins
@@ -110,12 +111,12 @@
         pipe = await asyncio.to_thread(open, world.path, "wb")  # returns once the program reads
         os.replace(good, world.path)
         assert world.process is not None and world.process.stderr is not None
-        world.process.send_signal(number)
+        send_signal(world.process, number)
         pipe.write(json.dumps(old if number is signal.SIGHUP else json.loads(world.path.read_text())).encode())
         pipe.close()
         if number is not signal.SIGTERM:
             await eventually(lambda: world.joins or (world.process and world.process.returncode is not None))
-            world.process.send_signal(signal.SIGTERM)
+            send_signal(world.process, signal.SIGTERM)
         log = (await world.process.stderr.read()).decode()
         assert await world.process.wait() == 0 and "leaving" in log, log
         assert ("reloads=1" in log) == (number is signal.SIGHUP)
