AMQP: a link that stood long and had nothing to do does not lengthen the next wait

Callers saw: messages that waited for up to 45 s in the queues of a node whose AMQP broker was back at once, where links without a settled delivery had been lost about nine times before, however long each had stood.

Cause: the doubled wait began anew only after a link on which something was settled.

Change: net.amqp.reconnect.ReconnectDelay: a link that settled something or stood for 30 s lets the wait begin anew; one that breaks at once still waits longer each time, which guards against a message that breaks every link.

--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -29,14 +29,13 @@
 from ...decision import LoadSignal
 from ...logs import Log
 from ..lines import ProtocolError
+from .reconnect import ReconnectDelay
 from .requests import request_from
 from .session import Content, Session, State, consumer_tag
 
 MAX_UNSENT_BYTES = 2**20  # that the AMQP broker may leave unread before the link is given up
 MIN_QUEUE_PAUSE_S = 0.25  # that a queue is left alone after a refusal, at least
 CHECK_INTERVAL_S = 0.25  # between looks at heartbeats, pauses and the window
-MIN_RECONNECT_DELAY_S = 0.1  # doubled after each attempt
-MAX_RECONNECT_DELAY_S = 30.0
 OPEN_TIMEOUT_S = 10.0  # in which a session must be open, counted from its connection
 READ_BYTES = 65536
 
@@ -213,11 +212,9 @@
         return fields
 
     async def run(self) -> None:
-        """Connect, and again whenever the link is lost, until cancelled.
-
-        A link that never served makes the next attempt wait longer: guards against a message or a broker that breaks
-        every link at once."""
-        pause, address = MIN_RECONNECT_DELAY_S, self.config.address
+        """Connect, and again whenever the link is lost, until cancelled."""
+        loop = asyncio.get_running_loop()
+        delay, address = ReconnectDelay(self._random), self.config.address
         while True:
             try:
                 reader, writer = await asyncio.open_connection(address.host, address.port)
@@ -225,13 +222,13 @@
                 self.counters.add("amqp.refused")
             else:
                 self.counters.add("amqp.links")
-                if await self._serve(reader, writer):
-                    pause = MIN_RECONNECT_DELAY_S
-            await asyncio.sleep(pause * (0.5 + self._random.random()))
-            pause = min(2 * pause, MAX_RECONNECT_DELAY_S)
+                opened_at, settlements_before = loop.time(), self._settlements()
+                await self._serve(reader, writer)
+                delay.link_ended(self._settlements() - settlements_before, loop.time() - opened_at)
+            await asyncio.sleep(delay.next())
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-        """One link; true if it settled anything."""
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one link until it is lost."""
 
         def write(data: bytes) -> None:
             writer.write(data)
@@ -243,7 +240,6 @@
         session = Session(self.config, write, self.delivered, self.counters)
         self._link = writer.transport
         self._session = session
-        before = self._settlements()
         try:
             session.start()
             await self._read(session, reader)
@@ -264,7 +260,6 @@
             self._link = None
             self._session = None
             self.lost(session)
-        return self._settlements() > before
 
     def _settlements(self) -> int:
         return sum(self.counters.counts[f"amqp.{name}"] for name in ("ack", "nack", "reject"))
