Executor link: a call that a repeated RETURN answers wrongly fails the request

Callers could see: a request whose run makes several calls, answered OK with a result made from the reply to the call before.

Cause: RETURN names a run and no call. One in doubt after a lost link is written again, and where the first had been read it answers whichever call the run waits for by then.

Evidence: a model of session and executor, links lost between any two steps.

Change: net.repeated_returns. A METER goes right before a repeated RETURN; a call that arrives before its answer was asked for before the RETURN was read. No call is made for it, and the end of that run counts as an error: FAILED, no result. Where the link is lost again before the answer nothing tells, and the run counts as failed too.

--- a/chutepin/net/executor.py
+++ b/chutepin/net/executor.py
@@ -17,6 +17,7 @@
 from ..facade import End
 from ..logs import Log
 from .lines import LineParser, ProtocolError, line, number, word
+from .repeated_returns import CallState, RepeatedReturns
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_LINE_BYTES = 16 * 1024  # a LOG may be longer than any other line; refused, it would come again on each link
@@ -55,7 +56,9 @@
     id: str
     data: bytes
     repeatable: bool  # may be written twice
+    answers_call: bool = False  # a RETURN
     written: bool = False
+    in_doubt: bool = False  # written on a link that was lost, perhaps read
     confirmed_by: int = 0  # the number of the METER whose answer confirms it
 
 
@@ -76,6 +79,7 @@
         self._unconfirmed_runs: dict[str, Command] = {}  # EXECs that may or may not have been read, by id
         self._probed_until: dict[str, int] = {}  # of those, stopped to find out: the METER by which a run shows
         self._probe_stops_until: dict[str, int] = {}  # the METER until whose answer a stop may be that of a probe
+        self._repeated_returns = RepeatedReturns()
         self._sync_meter = -1  # the METER whose answer shows that all missed notices were read
         self._quiesce_meter = -1  # the METER whose answer shows that all commands of a link to be left were read
         self.on_quiesced: Callable[[], None] = lambda: None
@@ -110,14 +114,22 @@
         """The link is gone. What may have been read and must not be read twice is not written again."""
         self.send, self._welcomed, self._sync_meter, self._quiesce_meter = None, False, -1, -1
         self._probed_until.clear()
+        self._repeated_returns.link_lost()
         self._unconfirmed_runs |= {c.id: c for c in self._commands if c.written and not c.repeatable}
         self._commands = [command for command in self._commands if command.repeatable or not command.written]
         for command in self._commands:  # a METER on the next link says nothing of what this one carried
+            command.in_doubt |= command.written
             command.written = False
 
     def command(self, id: str, data: bytes, repeatable: bool) -> None:
         """Write a command, now or once the link is back."""
-        command = Command(id, data, repeatable)
+        self._add(Command(id, data, repeatable))
+
+    def answer_call(self, id: str, reply: bytes) -> None:
+        """Write the reply to the call that a run waits for."""
+        self._add(Command(id, line("RETURN", id, body=reply), True, answers_call=True))
+
+    def _add(self, command: Command) -> None:
         self._commands.append(command)
         if self.synced:
             self._write(command)
@@ -172,8 +184,13 @@
 
     def _write(self, command: Command) -> None:
         assert self.send is not None
+        data = command.data
+        if command.answers_call and command.in_doubt:
+            self._last_meter += 1
+            self._repeated_returns.written(command.id, self._last_meter)
+            data = line("METER", self._last_meter) + data  # in one piece: little can come between the two
         command.written, command.confirmed_by = True, self._last_meter + 1
-        self.send(command.data)
+        self.send(data)
 
     def received(self, data: bytes) -> None:
         """Take in bytes from the executor. Raises ProtocolError."""
@@ -196,9 +213,7 @@
             case "CALLOUT":
                 notice = int(number(words, 1))
                 if self._is_new_notice(notice):
-                    self._confirm_run(word(words, 2))
-                    self._probe_stops_until.pop(words[2], None)
-                    self.notices.call_wanted(words[2], notice, body)
+                    self._want_call(word(words, 2), notice, body)
             case "METERS":
                 self._handle_meters(int(number(words, 1)), tuple(number(words, i) for i in range(2, len(words))))
             case "BAD":
@@ -209,12 +224,31 @@
             case _:
                 raise ProtocolError(f"unknown notice {words[0][:20]}")
 
+    def _want_call(self, id: str, notice: int, body: bytes) -> None:
+        assert self.notices is not None
+        state = self._repeated_returns.call_wanted(id)
+        if state is not CallState.OPEN:
+            self._log.event("executor.return_crossed", id=id, call=state.name.lower())
+        if state is CallState.ANSWERED:
+            self._counters.add("executor.returns_crossed")
+            return  # the RETURN stays a command until it is confirmed: the link may be lost before it is read
+        if state is CallState.IN_DOUBT:
+            self._counters.add("executor.returns_in_doubt")
+        self._confirm_run(id)
+        self._probe_stops_until.pop(id, None)
+        self.notices.call_wanted(id, notice, body)
+
     def _end_run(self, id: str, end: End, elapsed: float, result: bytes) -> None:
         assert self.notices is not None
         self._confirm_run(id)
         if end is End.CANCELLED and self._probe_stops_until.pop(id, None) is not None:
             self._counters.add("executor.woken")
             self.command(id, line("WAKE", id), True)
+            return
+        if end is End.CANCELLED and self._stopped_runs_can_resume:
+            self.notices.run_ended(id, end, elapsed, result)  # it may go on, with what it was told
+        elif self._repeated_returns.run_ended(id):
+            self.notices.run_ended(id, End.ERROR, elapsed, b"")
         else:
             self.notices.run_ended(id, end, elapsed, result)
 
@@ -240,9 +274,11 @@
         self._commands = [c for c in self._commands if not c.written or c.confirmed_by > mark]
         if mark >= self._sync_meter >= 0:
             self._sync_meter = -1
+            self._repeated_returns.link_synced()
             for command in self._commands:
                 self._write(command)
             self._probe_unconfirmed_runs()
+        self._repeated_returns.meter_answered(mark)
         self._expire_probes(mark)
         if mark >= self._quiesce_meter >= 0:
             self.on_quiesced()
@@ -284,7 +320,7 @@
 
     def give_back(self, id: str, reply: bytes) -> None:
         """The reply to the call that a run waits for."""
-        self._session.command(id, line("RETURN", id, body=reply), True)
+        self._session.answer_call(id, reply)
 
     def bypass(self, id: str, notice: int) -> None:
         """Go on without the call."""
