--- a/chutepin/testbench/standins/flood.py
+++ b/chutepin/testbench/standins/flood.py
@@ -43,12 +43,14 @@
 class Flood:
     """One run against a port of this machine."""
 
-    def __init__(self, kind: str, port: int, seconds: float, held: int = HELD) -> None:
+    def __init__(self, kind: str, port: int, seconds: float, held: int = HELD, announce_after: int = 0) -> None:
         self._kind, self._port, self._held = kind, port, held
         self._end = time.monotonic() + seconds
         self._sources = sources(kind)
         self.counts: Counter[str] = Counter()
         self.refusals: list[float] = []  # seconds from the connection to its close
+        self.is_flooding = asyncio.Event()  # the first `announce_after` connections were made
+        self._announce_after = announce_after
         self._holding: list[asyncio.Task[None]] = []
 
     def stop(self) -> None:
@@ -59,6 +61,7 @@
 
     async def run(self) -> dict[str, object]:
         """Flood until the end."""
+        self._announce_if_flooding()
         if self._kind == "storm":
             await self._storm()
         else:
@@ -83,7 +86,7 @@
                 self.counts["unconnected"] += 1
                 await asyncio.sleep(0.05)
                 continue
-            self.counts["connected"] += 1
+            self._count_connection()
             begun = time.monotonic()
             if self._kind == "sound":
                 fields = f"i={os.urandom(8).hex()},s={int(time.time() * 1000)},f=1,t=bernard-lodge,d=1000,m=10"
@@ -123,23 +126,38 @@
         except (OSError, TimeoutError):
             self.counts["unconnected"] += 1
             return
-        self.counts["connected"] += 1
+        self._count_connection()
         writer.transport.abort()
 
+    def _count_connection(self) -> None:
+        self.counts["connected"] += 1
+        self._announce_if_flooding()
+
+    def _announce_if_flooding(self) -> None:
+        if self.counts["connected"] >= self._announce_after:
+            self.is_flooding.set()
+
 
 @click.command()
 @click.argument("kind", type=click.Choice(["one", "block", "spread", "sound", "storm"]))
 @click.argument("port", type=click.IntRange(1, 65535))
 @click.argument("seconds", type=click.FloatRange(0.1, 120))
 @click.option("--held", type=click.IntRange(1, 2000), default=HELD, show_default=True, help="Connections at a time.")
-def main(kind: str, port: int, seconds: float, held: int) -> None:
+@click.option("--announce-after", type=click.IntRange(0), default=0, help="Connections made before the first line.")
+def main(kind: str, port: int, seconds: float, held: int, announce_after: int) -> None:
     """Flood a port of this machine."""
 
+    async def announce(flood: Flood) -> None:
+        await flood.is_flooding.wait()
+        click.echo(STARTED)
+
     async def run() -> dict[str, object]:
-        flood = Flood(kind, port, seconds, held)
+        flood = Flood(kind, port, seconds, held, announce_after)
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, flood.stop)
-        click.echo(STARTED)
-        return await flood.run()
+        announcing = asyncio.create_task(announce(flood))
+        report = await flood.run()
+        announcing.cancel()
+        return report
 
     click.echo(json.dumps(asyncio.run(run())))
 
@@ -147,13 +165,13 @@
 class FloodProcess:
     """A flood in a process of its own."""
 
-    def __init__(self, kind: str, port: int, seconds: float, held: int = HELD) -> None:
-        self._arguments = (kind, str(port), str(seconds), "--held", str(held))
+    def __init__(self, kind: str, port: int, seconds: float, held: int = HELD, announce_after: int = 0) -> None:
+        self._arguments = (kind, str(port), str(seconds), "--held", str(held), "--announce-after", str(announce_after))
         self._process: asyncio.subprocess.Process | None = None
         self.report: dict[str, object] = {}  # once it has ended
 
     async def start(self) -> None:
-        """Start it, and wait until it floods."""
+        """Start it, and wait until it floods: until the first `announce_after` connections were made."""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -20,7 +20,7 @@
 from chutepin.net.control import REPORT_INTERVAL_S, REPORT_TIMEOUT_S
 from chutepin.net.resp import array
 from chutepin.testbench.standins.dependency import ColdDependency, ColdServer, RecordsProxy, WarmUp
-from chutepin.testbench.standins.flood import Flood
+from chutepin.testbench.standins.flood import FloodProcess
 from chutepin.testbench.standins.platform import Balancer, eventually
 
 from .helper import ENV, ROOT, Standins
@@ -156,6 +156,7 @@
 FEW_DESCRIPTORS = 64
 IDLE_CALLERS = 200
 AWAY = 3.2  # seconds that it is away: pauses that double would have grown past what is allowed by then
+FLOOD_S = 60.0  # at most
 FILLED = 3 * FEW_DESCRIPTORS  # connections of idle callers, those that were turned away included
 REPORT_BY = REPORT_INTERVAL_S + REPORT_TIMEOUT_S + 0.5  # seconds after its return: a report under way is given up first
 LINK_BY = 3.0  # seconds in which the executor is met again
@@ -164,15 +165,14 @@
 @contextlib.asynccontextmanager
 async def idle_callers(port: int) -> AsyncIterator[None]:
     """More callers than the node has descriptors for; each connects, sends one request, idles, and connects again
-    whenever it is closed."""
-    flood = Flood("sound", port, 60.0, held=IDLE_CALLERS)
-    task = asyncio.ensure_future(flood.run())
+    whenever it is closed. They are a process of their own: in the test's loop they hold up the stand-in executor, and
+    the node takes that for a hang."""
+    flood = FloodProcess("sound", port, FLOOD_S, IDLE_CALLERS, announce_after=FILLED)
+    await flood.start()
     try:
-        await eventually(lambda: flood.counts["connected"] >= FILLED)
         yield
     finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await flood.stop()
 
 
 async def ask_until(stop: asyncio.Event, balancer: Balancer) -> list[bytes]:
@@ -207,6 +207,7 @@
     return time.monotonic() - lost
 
 
+# Guards also against a rig that answers late: then requests fail in a hang that the node rightly declares.
 @pytest.mark.parametrize("silent", [False, True], ids=["refusing", "silent"])
 def test_the_control_plane_is_met_again_at_once_while_idle_callers_fill_the_descriptors(
     silent: bool, tmp_path: Path
