Store and consensus: stored values of another shape are corrupt data, not tracebacks

Cause: the readers trusted what stands behind a right checksum.

Change: consensus.fields and store.codec check types and lengths; a missing chunk ends the reading.

--- a/chutepin/consensus/codec.py
+++ b/chutepin/consensus/codec.py
@@ -12,6 +12,7 @@
 import msgpack
 
 from .errors import CodecError
+from .fields import read_integer
 from .identity import StoreAcknowledgement, StoreAnnouncement
 from .journal import pack_entry, unpack_entry
 from .messages import (
@@ -79,9 +80,7 @@
 
 
 def _read_integer(raw: Any) -> int:
-    if type(raw) is not int or not -1 <= raw < 2**63:
-        raise CodecError("malformed")
-    return raw
+    return read_integer(raw, minimum=-1)
 
 
 def _read_text(raw: Any) -> str:
--- a/chutepin/consensus/journal.py
+++ b/chutepin/consensus/journal.py
@@ -13,6 +13,7 @@
 import msgpack
 
 from .errors import JournalError
+from .fields import read_bytes, read_integer, read_list, read_names, read_text
 from .messages import Entry, EntryKind, Membership, Persist, Snapshot
 from .persistent_state import PersistentState
 
@@ -39,16 +40,22 @@
     return [entry.index, entry.term, int(entry.kind), entry.data, membership]
 
 
-def unpack_membership(raw: list[list[str]]) -> Membership:
-    """Return the membership of plain values. Raises ValueError, TypeError."""
-    voters, learners = raw
-    return Membership(tuple(voters), tuple(learners))
+def unpack_membership(raw: Any) -> Membership:
+    """Return the membership of plain values. Raises ValueError."""
+    voters, learners = read_list(raw, 2)
+    return Membership(read_names(voters), read_names(learners))
 
 
-def unpack_entry(raw: list[Any]) -> Entry:
-    """Return the entry of plain values. Raises ValueError, TypeError."""
-    index, term, kind, data, membership = raw
-    return Entry(index, term, EntryKind(kind), data, None if membership is None else unpack_membership(membership))
+def unpack_entry(raw: Any) -> Entry:
+    """Return the entry of plain values. Raises ValueError."""
+    index, term, kind, data, membership = read_list(raw, 5)
+    return Entry(
+        read_integer(index, minimum=1),
+        read_integer(term),
+        EntryKind(read_integer(kind)),
+        read_bytes(data),
+        None if membership is None else unpack_membership(membership),
+    )
 
 
 class Journal:
@@ -118,7 +125,8 @@
         leftovers = list[Operation]()
         raw_term = get(TERM_KEY)
         if raw_term is not None:
-            saved.term, saved.voted_for = msgpack.unpackb(raw_term)
+            term, voted_for = read_list(msgpack.unpackb(raw_term), 2)
+            saved.term, saved.voted_for = read_integer(term), read_text(voted_for)
             self._term_and_vote = (saved.term, saved.voted_for)
         raw_head = get(SNAPSHOT_KEY)
         if raw_head is not None:
@@ -132,10 +140,15 @@
         self, get: Callable[[bytes], bytes | None], saved: PersistentState, raw_head: bytes
     ) -> list[Operation]:
         """Read the snapshot; return the deletes that are left of its predecessor."""
-        up_to_index, term, membership, chunk_count, checksum, first_index, former = msgpack.unpackb(raw_head)
-        former_first_index, former_snapshot_index, former_chunk_count = former
-        chunks = [get(chunk_key(up_to_index, number)) for number in range(chunk_count)]
-        data = b"".join(chunk for chunk in chunks if chunk is not None)
+        plain_index, plain_term, membership, plain_chunk_count, checksum, plain_first_index, former = read_list(
+            msgpack.unpackb(raw_head), 7
+        )
+        up_to_index = read_integer(plain_index, minimum=1)
+        term = read_integer(plain_term)
+        chunk_count = read_integer(plain_chunk_count)
+        first_index = read_integer(plain_first_index, minimum=1)
+        former_first_index, former_snapshot_index, former_chunk_count = map(read_integer, read_list(former, 3))
+        data = _read_chunks(get, up_to_index, chunk_count)
         if zlib.crc32(data) != checksum:
             raise JournalError(f"the snapshot at {up_to_index} is damaged")
         saved.snapshot = Snapshot(up_to_index, term, unpack_membership(membership), data)
@@ -168,6 +181,17 @@
         saved.base_term = base.term
 
 
+def _read_chunks(get: Callable[[bytes], bytes | None], up_to_index: int, chunk_count: int) -> bytes:
+    """Return the data of a snapshot. Raises JournalError where a chunk is missing."""
+    chunks = list[bytes]()
+    for number in range(chunk_count):
+        chunk = get(chunk_key(up_to_index, number))
+        if chunk is None:
+            raise JournalError(f"the snapshot at {up_to_index} is damaged")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def _pack(value: list[Any]) -> bytes:
     return bytes(msgpack.packb(value))
 
--- a/chutepin/store/codec.py
+++ b/chutepin/store/codec.py
@@ -260,10 +260,15 @@
         raise CorruptDataError(0, "the hint is of another segment or stale")
     runs = []
     at = _HINT.size
+    content_end = len(data) - _CRC.size
     for _ in range(run_count):
+        if content_end - at < _RUN.size:
+            raise CorruptDataError(at, "the hint ends before its last run")
         kind, key_size, bucket, count, record_bytes = _RUN.unpack_from(data, at)
         at += _RUN.size
         size = count * (key_size + LOCATION.size)
+        if size > content_end - at:
+            raise CorruptDataError(at, "the hint ends inside a run")
         runs.append(HintRun(kind, key_size, bucket, count, record_bytes, data[at : at + size]))
         at += size
     return runs
@@ -311,11 +316,31 @@
     head, newline, body = data.partition(b"\n")
     if not newline or head != f"{_MANIFEST_HEAD} {len(body):08d} {crc32c(body):08x}".encode():
         raise CorruptDataError(0, "the manifest is damaged or cut")
-    raw: Any = json.loads(body)
-    return Manifest(
-        raw["generation"],
-        raw["segment_bytes"],
-        raw["next"],
-        DurabilityMarker(*raw["mark"]),
-        tuple(SegmentEntry(*entry) for entry in raw["segments"]),
-    )
+    try:
+        return _parse_manifest(json.loads(body))
+    except (ValueError, KeyError, RecursionError) as error:
+        raise _unreadable_manifest() from error
+
+
+def _unreadable_manifest() -> CorruptDataError:
+    return CorruptDataError(0, "the manifest is of another shape")
+
+
+def _parse_manifest(raw: Any) -> Manifest:
+    """Return the manifest of plain values. Raises CorruptDataError, KeyError."""
+    if not isinstance(raw, dict) or not isinstance(raw["segments"], list):
+        raise _unreadable_manifest()
+    generation, segment_bytes, next_segment = _whole_numbers([raw["generation"], raw["segment_bytes"], raw["next"]], 3)
+    marker = DurabilityMarker(*_whole_numbers(raw["mark"], 4))
+    segments = tuple(SegmentEntry(*_whole_numbers(entry, 4)) for entry in raw["segments"])
+    return Manifest(generation, segment_bytes, next_segment, marker, segments)
+
+
+def _whole_numbers(raw: Any, count: int) -> list[int]:
+    """Return so many whole numbers of at most 64 bits. Raises CorruptDataError."""
+    if not isinstance(raw, list) or len(raw) != count:
+        raise _unreadable_manifest()
+    for value in raw:
+        if type(value) is not int or not 0 <= value < 2**64:
+            raise _unreadable_manifest()
+    return raw
