Executor link: session, replies in doubt and connection are modules of a package

The package net.executor keeps its names: session (the protocol without a socket), repeated_returns, link (the connection).

--- /dev/null
+++ b/chutepin/net/executor/link.py
@@ -0,0 +1,119 @@
+"""The connection to the executor, met again whenever it is lost or its address changes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ...config import Address
+from ...counters import Counters
+from ...logs import Log
+from ..lines import ProtocolError, line
+from .session import Session
+
+MAX_UNSENT_BYTES = 8 * 2**20  # that the executor may leave unread before the link is given up
+MIN_RECONNECT_DELAY_S = 0.02  # doubled after each attempt
+MAX_RECONNECT_DELAY_S = 0.5
+CONNECT_TIMEOUT_S = 2.0  # a host that says nothing would hold a connection attempt for minutes
+MOVE_TIMEOUT_S = 0.3  # after which a link to an old address is left, confirmed or not
+READ_BYTES = 65536
+
+
+class ExecutorLink:
+    """Keeps one connection to the executor open as long as the node runs."""
+
+    def __init__(self, address: Address, session: Session, counters: Counters, log: Log) -> None:
+        self._address, self._session, self._counters, self._log = address, session, counters, log
+        self._transport: asyncio.WriteTransport | None = None
+        self._moving = False
+        session.on_quiesced = self._leave
+
+    def move(self, address: Address) -> None:
+        """Connect to the executor at this address from now on. Runs and notice numbers carry on."""
+        if address == self._address:
+            return
+        self._address, self._moving = address, True
+        if self._transport is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_at(loop.time() + MOVE_TIMEOUT_S, self._leave, self._transport)
+            self._session.quiesce()
+
+    def _leave(self, transport: asyncio.WriteTransport | None = None) -> None:
+        """Leave this link, or the present one, for the new address."""
+        if self._transport is not None and transport in (None, self._transport):
+            self._transport.abort()
+
+    def exec(self, id: str, cls: str, body: bytes, repeatable: bool) -> None:
+        """Run a request. What must not run twice is not written twice: its end or due time decides."""
+        self._session.command(id, line("EXEC", id, cls, body=body), repeatable)
+
+    def kill(self, id: str) -> None:
+        """Stop a run."""
+        self._session.forget_probe(id)
+        self._session.command(id, line("KILL", id), True)
+
+    def give_back(self, id: str, reply: bytes) -> None:
+        """The reply to the call that a run waits for."""
+        self._session.answer_call(id, reply)
+
+    def bypass(self, id: str, notice: int) -> None:
+        """Go on without the call."""
+        self._session.command(id, line("BYPASS", id, notice), True)
+
+    def resolve(self, id: str) -> None:
+        """A request is over: have the executor say what became of its run, should that be in doubt."""
+        self._session.resolve(id)
+
+    def meter(self) -> bool:
+        """Ask for the gauges."""
+        return self._session.meter()
+
+    async def run(self) -> None:
+        """Connect, and again whenever the link is lost, until cancelled."""
+        loop = asyncio.get_running_loop()
+        delay = MIN_RECONNECT_DELAY_S
+        while True:
+            address = self._address
+            try:
+                async with asyncio.timeout_at(loop.time() + CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(address.host, address.port)
+            except OSError:
+                self._counters.add("executor.refused")
+            else:
+                if address != self._address:  # moved while it was met: nobody would leave this link
+                    writer.transport.abort()
+                    continue
+                delay = MIN_RECONNECT_DELAY_S
+                self._transport = writer.transport
+                self._moving = False
+                try:
+                    await self._serve(reader, writer)
+                finally:
+                    self._transport = None
+                    self._session.lost()
+                    writer.transport.abort()
+                self._counters.add("executor.moved" if self._moving else "executor.lost")
+                if self._moving:
+                    continue
+                self._log.event("executor.lost")
+            await asyncio.sleep(delay)
+            delay = min(2 * delay, MAX_RECONNECT_DELAY_S)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        def send(data: bytes) -> None:
+            writer.write(data)
+            if writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+                self._counters.add("executor.stuck")
+                writer.transport.abort()
+
+        self._session.connected(send)
+        try:
+            while data := await reader.read(READ_BYTES):
+                self._session.received(data)
+        except OSError as error:
+            self._log.event("executor.broken", why=str(error))
+        except ProtocolError as error:
+            self._counters.add("executor.malformed")
+            self._log.event("executor.malformed", why=str(error))
+        except Exception as error:  # noqa: BLE001  whatever it is, it is counted and logged here
+            self._counters.add("errors")
+            self._log.event("executor.error", error=repr(error))
--- a/tests/test_repeated_returns.py
+++ b/tests/test_repeated_returns.py
@@ -11,8 +11,8 @@
 from chutepin.facade import End
 from chutepin.logs import Log
 from chutepin.net.executor import ExecutorLink, Session
+from chutepin.net.executor.repeated_returns import MAX_RUNS, CallState, RepeatedReturns
 from chutepin.net.lines import LineParser, line
-from chutepin.net.repeated_returns import MAX_RUNS, CallState, RepeatedReturns
 
 from .helper import Hand
 
