Stand-ins: flood and known client with typed kinds, units and plain names

FloodKind in place of texts, one function to connect, named constants with units; KnownClient and its answers with units; EVENTUALLY_TIMEOUT_S and Standins.reload in place of PATIENCE and hang_up.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -21,7 +21,7 @@
 from benchmarks.store import table
 from chutepin.admission import ConnectionTable, Rules
 from chutepin.admission.addresses import Networks
-from chutepin.testbench.standins.known_client import Known
+from chutepin.testbench.standins.known_client import KnownClient
 from chutepin.testbench.standins.platform import EXAMPLE, ROOT, Standins
 
 KINDS = ("none", "one", "block", "spread", "sound", "storm")
@@ -71,27 +71,27 @@
                 stdout=asyncio.subprocess.PIPE,
             )
             await asyncio.sleep(1.5)
-        client = Known(world.port)
+        client = KnownClient(world.port)
         before, begun = cpu(world.process.pid), time.monotonic()
         await client.run(SECONDS - 1)
         used = (cpu(world.process.pid) - before) / (time.monotonic() - begun)
         told: dict[str, object] = {}
         if flood is not None:
             told = json.loads((await flood.communicate())[0])
-        after = Known(world.port, source="127.0.200.1")
+        after = KnownClient(world.port, source="127.0.200.1")
         await after.run(0.5)
         return [
             kind,
-            100 * client.held.part,
-            100 * client.new.part,
-            client.held.time(0.99),
-            client.new.time(0.99),
+            100 * client.held.served_share,
+            100 * client.new.served_share,
+            client.held.quantile_ms(0.99),
+            client.new.quantile_ms(0.99),
             100 * used,
             told.get("connected", 0),
             told.get("refused", 0),
             told.get("refused_p99_ms") or "",
             told.get("refused_max_ms") or "",
-            100 * after.new.part,
+            100 * after.new.served_share,
         ]
 
 
--- a/benchmarks/operation.py
+++ b/benchmarks/operation.py
@@ -23,7 +23,7 @@
 from chutepin.handover.frames import FrameReader, encode_record
 from chutepin.idempotency import IdempotencyRecord
 from chutepin.testbench.signals import send_signal
-from chutepin.testbench.standins.known_client import Known
+from chutepin.testbench.standins.known_client import KnownClient
 from chutepin.testbench.standins.platform import EXAMPLE, Balancer, Standins
 
 CALLS = 300  # of operators, for each row
@@ -94,7 +94,7 @@
     for _ in range(1000):
         await called(world, b"show-stat\n")
     print(f"CPU of one scrape: {cpu(world) - before:.3f} ms", flush=True)
-    load = [asyncio.ensure_future(Known(world.port, rate=60).run(30)) for _ in range(8)]
+    load = [asyncio.ensure_future(KnownClient(world.port, requests_per_s=60).run(30)) for _ in range(8)]
     await asyncio.sleep(1)
     begun, before = time.monotonic(), cpu(world)
     await row(world, "load")
--- a/chutepin/testbench/soak/play.py
+++ b/chutepin/testbench/soak/play.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from chutepin.testbench.signals import kill, send_signal
-from chutepin.testbench.standins.flood import FloodProcess
+from chutepin.testbench.standins.flood import FloodKind, FloodProcess
 from chutepin.testbench.standins.platform import ROOT, free_port
 
 from .books import Books, Event, LagSeen, ProcessSeen
@@ -39,7 +39,7 @@
 QUIET_S = 1.0  # without clients, before the resources of the last process are looked at
 UPGRADE_STOP_S = 3.7  # after SIGTERM: the longest deadline, counted as 3 s, and 0.7 s
 CALL_TIMEOUT_S = 1.0  # that an operator waits
-CROWD_KINDS = ("one", "spread", "sound")
+CROWD_KINDS = (FloodKind.ONE, FloodKind.SPREAD, FloodKind.SOUND)
 CROWD_MARGIN_S = 60.0  # for starts and ends, beyond the time that processes serve
 # As a deployment starts a node: signals that cross the interpreter's start must not end it.
 SHELL_COMMAND = f"trap '' HUP USR1; exec '{sys.executable}' -O -m chutepin"
--- a/chutepin/testbench/standins/flood.py
+++ b/chutepin/testbench/standins/flood.py
@@ -2,8 +2,6 @@
 
     python -m chutepin.testbench.standins.flood KIND PORT SECONDS
 
-`one` keeps 600 connections from one address, `block` three each from 200 addresses of one block, `spread` the same
-from 200 blocks, `sound` sends one sound request on each of these, and `storm` connects and closes 2,000 times a second.
 It prints what became of its connections as JSON, at its end or at SIGTERM. Addresses are of 127.0.0.0/8 alone.
 `FloodProcess` runs it beside a test, so that the flood takes no turns of the test's event loop."""
 
@@ -17,7 +15,8 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from enum import StrEnum
 from pathlib import Path
 
 import click
@@ -25,139 +24,182 @@
 from chutepin.net.resp import array
 from chutepin.testbench.signals import send_signal
 
-HELD = 600  # connections at a time
-STORM = 2000  # a second
-STARTED = "flooding"  # the first line that it prints
-REFUSED = 0.45  # seconds: who is closed later was let in, and made room later
+HELD_CONNECTIONS = 600
+STORM_CONNECTIONS_PER_S = 2000
+MAX_STORM_ATTEMPTS = 2000  # at the same time
+STORM_TURN_S = 0.002
+SOURCES = 200  # addresses, or blocks of addresses, by turns
+HOLD_CONNECT_TIMEOUT_S = 3.0
+STORM_CONNECT_TIMEOUT_S = 2.0
+RETRY_DELAY_S = 0.05  # after a connection that could not be made
+RENEW_DELAY_S = 0.02  # after one that was closed
+REFUSED_WITHIN_S = 0.45  # who is closed later was let in, and made room later
+READ_BYTES = 4096
+FLOODING_LINE = "flooding"  # the first line that the program prints
+
+
+class FloodKind(StrEnum):
+    """What a flood does."""
+
+    ONE = "one"  # holds connections from one address
+    BLOCK = "block"  # holds connections from addresses of one block
+    SPREAD = "spread"  # holds connections from addresses of as many blocks
+    SOUND = "sound"  # the same, with one sound request on each
+    STORM = "storm"  # connects from one address and closes at once
+
+
+def source_address(kind: FloodKind, number: int) -> str:
+    """Return the address that a flood takes at its turn of this number."""
+    match kind:
+        case FloodKind.ONE | FloodKind.STORM:
+            return "127.0.9.9"
+        case FloodKind.BLOCK:
+            return f"127.0.1.{number + 1}"
+        case _:
+            return f"127.1.{number}.1"
+
+
+def source_addresses(kind: FloodKind) -> Iterator[str]:
+    """Yield a flood's addresses by turns, for ever."""
+    while True:
+        for number in range(SOURCES):
+            yield source_address(kind, number)
 
 
-def sources(kind: str) -> Iterator[str]:
-    """Addresses by turns, for ever."""
-    while True:
-        for number in range(200):
-            yield {"one": "127.0.9.9", "storm": "127.0.9.9", "block": f"127.0.1.{number + 1}"}.get(
-                kind, f"127.1.{number}.1"
-            )
+def sound_request() -> bytes:
+    """Return one request that a node serves."""
+    fields = f"i={os.urandom(8).hex()},s={int(time.time() * 1000)},f=1,t=bernard-lodge,d=1000,m=10"
+    return array(b"RPC.CALL", b"1", b"position-push", fields.encode(), b"x")
 
 
 class Flood:
-    """One run against a port of this machine."""
-
-    def __init__(self, kind: str, port: int, seconds: float, held: int = HELD, announce_after: int = 0) -> None:
-        self._kind, self._port, self._held = kind, port, held
-        self._end = time.monotonic() + seconds
-        self._sources = sources(kind)
-        self.counts: Counter[str] = Counter()
-        self.refusals: list[float] = []  # seconds from the connection to its close
-        self.is_flooding = asyncio.Event()  # the first `announce_after` connections were made
+    """One run against a port of this machine.
+
+    `on_flooding` is called once, when the first `announce_after` connections were made."""
+
+    def __init__(
+        self,
+        kind: FloodKind,
+        port: int,
+        seconds: float,
+        held: int,
+        announce_after: int,
+        on_flooding: Callable[[], None],
+    ) -> None:
+        self._kind = kind
+        self._port = port
+        self._held = held
         self._announce_after = announce_after
+        self._on_flooding = on_flooding
+        self._has_announced = False
+        self._ends_at = time.monotonic() + seconds
+        self._sources = source_addresses(kind)
+        self._counts: Counter[str] = Counter()
+        self._refused_after_s: list[float] = []
         self._holding: list[asyncio.Task[None]] = []
 
     def stop(self) -> None:
         """End the flood now, before its time."""
-        self._end = min(self._end, time.monotonic())
+        self._ends_at = min(self._ends_at, time.monotonic())
         for task in self._holding:
             task.cancel()
 
     async def run(self) -> dict[str, object]:
-        """Flood until the end."""
+        """Flood until the end; return what became of the connections."""
         self._announce_if_flooding()
-        if self._kind == "storm":
+        if self._kind is FloodKind.STORM:
             await self._storm()
         else:
-            self._holding = [asyncio.create_task(self._hold()) for _ in range(self._held)]
+            self._holding = [asyncio.create_task(self._hold_connections()) for _ in range(self._held)]
             await asyncio.gather(*self._holding, return_exceptions=True)
-        times = sorted(self.refusals)
+        times = sorted(self._refused_after_s)
         return {
-            **self.counts,
+            **self._counts,
             "refused": len(times),
             "refused_p99_ms": round(1000 * times[int(0.99 * len(times))], 1) if times else None,
             "refused_max_ms": round(1000 * times[-1], 1) if times else None,
         }
 
-    async def _hold(self) -> None:
+    async def _hold_connections(self) -> None:
         """One peer: connect, wait until closed, again."""
-        while time.monotonic() < self._end:
-            source = next(self._sources)
-            try:
-                async with asyncio.timeout(3):
-                    reader, writer = await asyncio.open_connection("127.0.0.1", self._port, local_addr=(source, 0))
-            except (OSError, TimeoutError):
-                self.counts["unconnected"] += 1
-                await asyncio.sleep(0.05)
+        while time.monotonic() < self._ends_at:
+            streams = await self._connect(HOLD_CONNECT_TIMEOUT_S)
+            if streams is None:
+                await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            self._count_connection()
-            begun = time.monotonic()
-            if self._kind == "sound":
-                fields = f"i={os.urandom(8).hex()},s={int(time.time() * 1000)},f=1,t=bernard-lodge,d=1000,m=10"
-                writer.write(array(b"RPC.CALL", b"1", b"position-push", fields.encode(), b"x"))
+            reader, writer = streams
+            connected_at = time.monotonic()
+            if self._kind is FloodKind.SOUND:
+                writer.write(sound_request())
             try:
-                await self._read_until_closed(reader, begun)
+                await self._read_until_closed(reader, connected_at)
             finally:
                 writer.transport.abort()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(RENEW_DELAY_S)
+
+    async def _connect(self, timeout_s: float) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        source = next(self._sources)
+        try:
+            async with asyncio.timeout(timeout_s):
+                streams = await asyncio.open_connection("127.0.0.1", self._port, local_addr=(source, 0))
+        except (OSError, TimeoutError):
+            self._counts["unconnected"] += 1
+            return None
+        self._counts["connected"] += 1
+        self._announce_if_flooding()
+        return streams
 
-    async def _read_until_closed(self, reader: asyncio.StreamReader, begun: float) -> None:
+    async def _read_until_closed(self, reader: asyncio.StreamReader, connected_at: float) -> None:
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.01, self._end - begun)):
+            async with asyncio.timeout(max(0.01, self._ends_at - connected_at)):
                 with contextlib.suppress(OSError):  # a reset ends it as well
-                    while await reader.read(4096):
+                    while await reader.read(READ_BYTES):
                         pass
-                if time.monotonic() - begun < REFUSED:
-                    self.refusals.append(time.monotonic() - begun)
+                stood_s = time.monotonic() - connected_at
+                if stood_s < REFUSED_WITHIN_S:
+                    self._refused_after_s.append(stood_s)
 
     async def _storm(self) -> None:
         """Connect and close, at a rate of its own."""
-        begun, number = time.monotonic(), 0
+        begun_at = time.monotonic()
+        attempts = 0
         tasks: set[asyncio.Task[None]] = set()
-        while time.monotonic() < self._end:
-            while number < (time.monotonic() - begun) * STORM and len(tasks) < 2000:
-                number += 1
-                task = asyncio.ensure_future(self._touch())
+        while time.monotonic() < self._ends_at:
+            due = (time.monotonic() - begun_at) * STORM_CONNECTIONS_PER_S
+            while attempts < due and len(tasks) < MAX_STORM_ATTEMPTS:
+                attempts += 1
+                task = asyncio.ensure_future(self._connect_and_close())
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
-            await asyncio.sleep(0.002)
+            await asyncio.sleep(STORM_TURN_S)
         await asyncio.gather(*tasks)
 
-    async def _touch(self) -> None:
-        try:
-            async with asyncio.timeout(2):
-                _, writer = await asyncio.open_connection("127.0.0.1", self._port, local_addr=(next(self._sources), 0))
-        except (OSError, TimeoutError):
-            self.counts["unconnected"] += 1
-            return
-        self._count_connection()
-        writer.transport.abort()
-
-    def _count_connection(self) -> None:
-        self.counts["connected"] += 1
-        self._announce_if_flooding()
+    async def _connect_and_close(self) -> None:
+        streams = await self._connect(STORM_CONNECT_TIMEOUT_S)
+        if streams is not None:
+            streams[1].transport.abort()
 
     def _announce_if_flooding(self) -> None:
-        if self.counts["connected"] >= self._announce_after:
-            self.is_flooding.set()
+        if not self._has_announced and self._counts["connected"] >= self._announce_after:
+            self._has_announced = True
+            self._on_flooding()
 
 
 @click.command()
-@click.argument("kind", type=click.Choice(["one", "block", "spread", "sound", "storm"]))
+@click.argument("kind", type=click.Choice([kind.value for kind in FloodKind]))
 @click.argument("port", type=click.IntRange(1, 65535))
 @click.argument("seconds", type=click.FloatRange(0.1, 120))
-@click.option("--held", type=click.IntRange(1, 2000), default=HELD, show_default=True, help="Connections at a time.")
+@click.option(
+    "--held", type=click.IntRange(1, 2000), default=HELD_CONNECTIONS, show_default=True, help="Connections at a time."
+)
 @click.option("--announce-after", type=click.IntRange(0), default=0, help="Connections made before the first line.")
 def main(kind: str, port: int, seconds: float, held: int, announce_after: int) -> None:
     """Flood a port of this machine."""
 
-    async def announce(flood: Flood) -> None:
-        await flood.is_flooding.wait()
-        click.echo(STARTED)
-
     async def run() -> dict[str, object]:
-        flood = Flood(kind, port, seconds, held, announce_after)
+        flood = Flood(FloodKind(kind), port, seconds, held, announce_after, lambda: click.echo(FLOODING_LINE))
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, flood.stop)
-        announcing = asyncio.create_task(announce(flood))
-        report = await flood.run()
-        announcing.cancel()
-        return report
+        return await flood.run()
 
     click.echo(json.dumps(asyncio.run(run())))
 
@@ -165,7 +207,9 @@
 class FloodProcess:
     """A flood in a process of its own."""
 
-    def __init__(self, kind: str, port: int, seconds: float, held: int = HELD, announce_after: int = 0) -> None:
+    def __init__(
+        self, kind: FloodKind, port: int, seconds: float, held: int = HELD_CONNECTIONS, announce_after: int = 0
+    ) -> None:
         self._arguments = (kind, str(port), str(seconds), "--held", str(held), "--announce-after", str(announce_after))
         self._process: asyncio.subprocess.Process | None = None
         self.report: dict[str, object] = {}  # once it has ended
--- a/chutepin/testbench/standins/platform.py
+++ b/chutepin/testbench/standins/platform.py
@@ -26,7 +26,7 @@
 
 ROOT = Path(__file__).parents[3]
 EXAMPLE: dict[str, Any] = json.loads((ROOT / "deploy" / "example.json").read_text())
-PATIENCE = 60.0  # seconds
+EVENTUALLY_TIMEOUT_S = 60.0
 STATE_WAIT_S = 0.5  # for the program to write its state to its log
 MAX_SHOWN_LOG = 8000  # characters
 PORTS = range(12_000, 30_000)  # that `free_port` gives; who runs rigs side by side gives each its own
@@ -151,7 +151,7 @@
             )
         )
 
-    def hang_up(self) -> None:
+    def reload(self) -> None:
         """Have the node read its configuration again."""
         assert self.process is not None
         send_signal(self.process, signal.SIGHUP)
@@ -323,7 +323,7 @@
 
 async def eventually(holds: Callable[[], Any]) -> None:
     """Wait until something holds: far longer than needed, so that a busy machine changes no verdict."""
-    until = time.monotonic() + PATIENCE
+    until = time.monotonic() + EVENTUALLY_TIMEOUT_S
     while not holds():
         assert time.monotonic() < until, "it never came to hold"
         await asyncio.sleep(0.005)
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -20,7 +20,7 @@
 from chutepin.net.control import REPORT_INTERVAL_S, REPORT_TIMEOUT_S
 from chutepin.net.resp import array
 from chutepin.testbench.standins.dependency import ColdDependency, ColdServer, RecordsProxy, WarmUp
-from chutepin.testbench.standins.flood import FloodProcess
+from chutepin.testbench.standins.flood import FloodKind, FloodProcess
 from chutepin.testbench.standins.platform import Balancer, eventually
 
 from .helper import ENV, ROOT, Standins
@@ -167,7 +167,7 @@
     """More callers than the node has descriptors for; each connects, sends one request, idles, and connects again
     whenever it is closed. They are a process of their own: in the test's loop they hold up the stand-in executor, and
     the node takes that for a hang."""
-    flood = FloodProcess("sound", port, FLOOD_S, IDLE_CALLERS, announce_after=FILLED)
+    flood = FloodProcess(FloodKind.SOUND, port, FLOOD_S, IDLE_CALLERS, announce_after=FILLED)
     await flood.start()
     try:
         yield
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -19,8 +19,8 @@
 from chutepin.logs import Log
 from chutepin.net.records import RecordsService
 from chutepin.testbench.signals import send_signal
-from chutepin.testbench.standins.flood import FloodProcess
-from chutepin.testbench.standins.known_client import Known
+from chutepin.testbench.standins.flood import FloodKind, FloodProcess
+from chutepin.testbench.standins.known_client import KnownClient
 from chutepin.testbench.standins.platform import Balancer, eventually
 
 from .helper import Hand, Standins
@@ -45,8 +45,8 @@
     return line.decode()
 
 
-@pytest.mark.parametrize("kind", ["one", "spread", "sound", "storm"])
-def test_a_known_client_is_served_while_a_flood_exhausts_the_descriptors(kind: str, tmp_path: Path) -> None:
+@pytest.mark.parametrize("kind", [FloodKind.ONE, FloodKind.SPREAD, FloodKind.SOUND, FloodKind.STORM])
+def test_a_known_client_is_served_while_a_flood_exhausts_the_descriptors(kind: FloodKind, tmp_path: Path) -> None:
     async def test(world: Standins, stack: AsyncExitStack) -> None:
         world.descriptors, world.calling = 96, False
         await world.start(stack, *setup(tmp_path))
@@ -55,7 +55,7 @@
         await flood.start()
         stack.push_async_callback(flood.stop)
         await asyncio.sleep(0.7)
-        client = Known(world.port)
+        client = KnownClient(world.port)
         await client.run(2.5)
         assert not flood.has_ended
         assert min(client.held.asked, client.new.asked) >= 3
@@ -65,14 +65,14 @@
         assert flooded["connected"]
         ended = time.monotonic()
         while True:  # a stranger is served as soon as the flood is over
-            stranger = Known(world.port, source="127.0.200.1")
+            stranger = KnownClient(world.port, source="127.0.200.1")
             await stranger.run(0.05)
-            if stranger.new.part == 1 and stranger.held.part == 1:
+            if stranger.new.served_share == 1 and stranger.held.served_share == 1:
                 break
             assert time.monotonic() < ended + 10
         log = await world.leave()
         assert "invariant" not in log and "errors" not in log
-        assert kind == "storm" or "admission.refused." in log
+        assert kind is FloodKind.STORM or "admission.refused." in log
 
     on_sockets(test)
 
@@ -87,7 +87,7 @@
                 balancer.call("status-read", b"x", wait=9000)
         await eventually(lambda: len(world.calls) >= 8)
         world.calling = False
-        client = Known(world.port)
+        client = KnownClient(world.port)
         await client.run(1.0)
         assert client.new.served >= client.new.asked - 1 > 5
         assert world.process is not None
@@ -163,7 +163,7 @@
             ("admission { per-address (connections)9 }", b""),
         ):
             setup(tmp_path, text)
-            world.hang_up()
+            world.reload()
             if word:
                 assert "states no unit" in await line_with(world, word)
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -17,7 +17,7 @@
 from chutepin.handover import Rendezvous, rendezvous_path
 from chutepin.handover.frames import encode_frame
 from chutepin.testbench.signals import kill, send_signal
-from chutepin.testbench.standins.platform import PATIENCE, Balancer, eventually, free_port
+from chutepin.testbench.standins.platform import EVENTUALLY_TIMEOUT_S, Balancer, eventually, free_port
 
 from .helper import WINDOW, Standins
 from .test_operation import call
@@ -35,7 +35,7 @@
             old.environ = new.environ = {"TMPDIR": place}
             await old.start(stack, ops=True)
             new.listen_port = old.port
-            async with asyncio.timeout_at(asyncio.get_running_loop().time() + PATIENCE):
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + EVENTUALLY_TIMEOUT_S):
                 await test(old, new, stack)
 
     asyncio.run(run())
@@ -300,7 +300,7 @@
             assert await order(0) == b"FAILED"
             other.close()
             numbers = itertools.count(1)
-            async with asyncio.timeout_at(asyncio.get_running_loop().time() + PATIENCE):
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + EVENTUALLY_TIMEOUT_S):
                 while await order(next(numbers)) != b"OK":
                     await asyncio.sleep(0.1)
             assert next(numbers) > 10  # not before the window was over
--- a/tests/test_handover_crossings.py
+++ b/tests/test_handover_crossings.py
@@ -193,7 +193,7 @@
             await eventually(lambda: new.path.exists() and new.process is not None)
         joins = len(world.joins)
         await world.configure(stack)
-        world.hang_up()
+        world.reload()
         await starting
         await ready(new)
         await eventually(lambda: len(world.joins) > joins)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -180,13 +180,13 @@
         await eventually(lambda: world.runs)
         first = await balancer.answer(balancer.call("status-read", b"before"))
         world.path.write_text("{")
-        world.hang_up()
+        world.reload()
         assert world.process is not None and world.process.stderr is not None
         while b'reload.rejected why="LB_CONFIG: not JSON"' not in (await world.process.stderr.readline()):
             pass
         await world.configure(stack)
         reports, notices = len(world.reports), len(world.notices)
-        world.hang_up()
+        world.reload()
         await eventually(lambda: len(world.joins) == 2)
         assert world.joins == [0, notices]  # notice numbers carry on
         second = await balancer.answer(balancer.call("status-read", b"after"))
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -216,7 +216,7 @@
         down = await asyncio.start_server(mute, "127.0.0.1", 0)
         port = down.sockets[0].getsockname()[1]
         world.path.write_text(json.dumps(config | {"control": f"127.0.0.1:{port}"}))
-        world.hang_up()
+        world.reload()
         await eventually(lambda: len(silent) >= 2)  # each report that is not answered costs itself alone
         balancer = await world.connect()
         assert (await balancer.answer(balancer.call("status-read", b"meanwhile")))[0] == b"OK"
