--- a/tests/test_amqp_liveness.py
+++ b/tests/test_amqp_liveness.py
@@ -15,9 +15,10 @@
 from chutepin.logs import Log
 from chutepin.net.amqp import Consumer, FrameParser, Session
 from chutepin.net.amqp.consumer import CHECK_INTERVAL_S
+from chutepin.testbench.standins.amqp_broker import LinkWriter, Message, StandinBroker
 
 from .helper import ENV, ROOT, Core
-from .test_amqp import ORDERS, SECRET, STATUS, LinkWriter, Message, StandinBroker
+from .test_amqp import ORDERS, SECRET, STATUS
 
 SEEDS = range(120)
 STEPS = 160
--- a/tests/test_amqp_reconnect.py
+++ b/tests/test_amqp_reconnect.py
@@ -15,10 +15,11 @@
 from chutepin.logs import Log
 from chutepin.net.amqp import Consumer, reconnect
 from chutepin.net.amqp.reconnect import MAX_RECONNECT_DELAY_S, MIN_RECONNECT_DELAY_S, STEADY_LINK_S, ReconnectDelay
+from chutepin.testbench.standins.amqp_broker import StandinBroker
 from chutepin.testbench.standins.platform import eventually
 
 from .helper import ENV, ROOT, Core
-from .test_amqp import SECRET, StandinBroker
+from .test_amqp import SECRET
 
 LOSSES = 6
 STOOD_S = 0.3  # each link, in the test on sockets
