Standing test: the connect time-out is patched where it is now, in net.executor.link

The split of net.executor moved the constant; the test patched the package and failed with AttributeError in the next whole run (1 failed, 1904 passed). 19 tests of the file pass.

--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -25,8 +25,9 @@
 from chutepin.counters import Counters
 from chutepin.facade import End
 from chutepin.logs import Log
-from chutepin.net import executor, records
+from chutepin.net import records
 from chutepin.net.executor import ExecutorLink, Session
+from chutepin.net.executor import link as executor_link
 from chutepin.net.records import RecordsService
 from chutepin.net.resp import BYE, RespListener, RespParser, array
 from chutepin.node import Node
@@ -321,7 +322,7 @@
 
 
 def test_an_executor_that_does_not_answer_is_left_for_where_it_has_moved(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(executor, "CONNECT_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(executor_link, "CONNECT_TIMEOUT_S", 0.2)
 
     async def test(stack: AsyncExitStack) -> None:
         new = Listening()
