Soak: runs make several calls one after the other, and a wrong reply shows in the result

Now two of five runs whose call was answered call once more, each call has a body of its own, and a run that gets the reply to another call ends with a result that the check "results" refuses.

--- a/chutepin/testbench/soak/standins.py
+++ b/chutepin/testbench/soak/standins.py
@@ -20,6 +20,7 @@
 LONG_RUN_SHARE = 0.05
 MAX_LONG_RUN_S = 0.6
 CALL_SHARE = 0.5  # of the runs of classes that call
+NEXT_CALL_SHARE = 0.4  # of the runs whose call was answered, that call once more
 KEY_WINDOW_S = 44.118
 CALLING_CLASSES = ("status-read", "work-order")
 
@@ -44,6 +45,8 @@
         self._books = runs
         self._bodies: dict[str, bytes] = {}  # of runs that are not over
         self._ended: set[str] = set()
+        self._call_count = 0
+        self._wrongly_answered: set[str] = set()  # runs that got the reply to another call
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self.open_records_connections = 0
 
@@ -51,7 +54,9 @@
         match words[0]:
             case "EXEC":
                 self._begin(words[1], words[2], body)
-            case "RETURN" | "BYPASS":
+            case "RETURN":
+                self._take_reply(words[1], body)
+            case "BYPASS":
                 if self._waiting.pop(words[1], None) is not None:
                     self._finish_later(words[1])
             case "KILL":
@@ -85,8 +90,22 @@
         return self._chance.uniform(MIN_RUN_S, MAX_RUN_S)
 
     def _call(self, id: str) -> None:
-        self._waiting[id] = ("", self._bodies[id])
-        self.notify("CALLOUT", id, body=b"call for " + self._bodies[id])
+        self._call_count += 1
+        call = b"call %d for %b" % (self._call_count, self._bodies[id])
+        self._waiting[id] = ("", call)
+        self.notify("CALLOUT", id, body=call)
+
+    def _take_reply(self, id: str, reply: bytes) -> None:
+        """Go on with the reply to a run's call, and note one that was to another call."""
+        waiting = self._waiting.pop(id, None)
+        if waiting is None:
+            return
+        if reply != b"row of " + waiting[1]:
+            self._wrongly_answered.add(id)
+        if self._chance.random() < NEXT_CALL_SHARE:
+            self._later(id, self._run_time(), self._call)
+        else:
+            self._finish_later(id)
 
     def _finish_later(self, id: str) -> None:
         self._later(id, self._run_time(), self._finish)
@@ -102,7 +121,9 @@
         if body is None:
             return
         self._ended.add(id)
-        self.finish(id, b"done " + body)
+        is_wrong = id in self._wrongly_answered
+        self._wrongly_answered.discard(id)
+        self.finish(id, (b"wrongly done " if is_wrong else b"done ") + body)
 
     def _pause(self, id: str) -> None:
         """Stop work on a core; it keeps its progress. What was never begun stays so, and nothing is said."""
