--- a/chutepin/testbench/standins/dependency.py
+++ b/chutepin/testbench/standins/dependency.py
@@ -9,200 +9,221 @@
 import contextlib
 import time
 from bisect import bisect_left
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
 from chutepin.net.lines import LineParser, line
 from chutepin.testbench.standins.platform import Balancer, Standins
 
+MAX_BODY_BYTES = 65536
+READ_BYTES = 65536
+WORK_STEP_S = 0.005  # between looks at what the cores have done
+ANSWER_POLL_S = 0.02  # between looks at whether a forwarded call is answered
+_REPLY_BY_ANSWER = {b"OK": "DONE", b"BUSY": "WAIT"}
 
-class CallLoad:
-    """How many calls were in hand over time, and their mean over any window. Pure."""
+
+class OpenCalls:
+    """How many calls, or runs, were open over time, and the mean of that over any window. Pure."""
 
     def __init__(self) -> None:
-        self.in_hand = self.begun = 0
-        self._times: list[float] = []  # of each change
-        self._seconds: list[float] = []  # call seconds until then
-        self._counts: list[int] = []  # in hand from then on
-
-    def change(self, now: float, by: int) -> None:
-        """So many more are in hand, or fewer."""
-        seconds = self._integral(now)
-        self.in_hand += by
-        self.begun += max(0, by)
-        self._times.append(now)
-        self._seconds.append(seconds)
-        self._counts.append(self.in_hand)
+        self.count = 0  # open now
+        self.started = 0  # in all
+        self._changed_at: list[float] = []
+        self._call_seconds: list[float] = []  # until each change
+        self._counts: list[int] = []  # from each change on
+
+    def start(self, now: float) -> None:
+        """Note that one was opened."""
+        self.started += 1
+        self._change(now, 1)
+
+    def end(self, now: float) -> None:
+        """Note that one is over."""
+        self._change(now, -1)
+
+    def _change(self, now: float, difference: int) -> None:
+        call_seconds = self._integral(now)
+        self.count += difference
+        self._changed_at.append(now)
+        self._call_seconds.append(call_seconds)
+        self._counts.append(self.count)
 
     def _integral(self, at: float) -> float:
-        """Call seconds until a time."""
-        index = bisect_left(self._times, at) - 1
+        """Return the call seconds until a time."""
+        index = bisect_left(self._changed_at, at) - 1
         if index < 0:
             return 0.0
-        return self._seconds[index] + self._counts[index] * (at - self._times[index])
+        return self._call_seconds[index] + self._counts[index] * (at - self._changed_at[index])
 
-    def means(self, over: float) -> list[tuple[float, float]]:
-        """The end and the mean of each window of this length that begins or ends with a change."""
-        ends = [*self._times, *(at + over for at in self._times if at + over <= self._times[-1])]
-        return [(end, (self._integral(end) - self._integral(end - over)) / over) for end in ends]
+    def window_means(self, window_s: float) -> list[tuple[float, float]]:
+        """Return the end and the mean of each window of this length that begins or ends with a change."""
+        if not self._changed_at:
+            return []
+        last = self._changed_at[-1]
+        ends = [*self._changed_at, *(at + window_s for at in self._changed_at if at + window_s <= last)]
+        return [(end, (self._integral(end) - self._integral(end - window_s)) / window_s) for end in ends]
 
-    def most(self, over: float) -> float:
-        """The greatest of these means."""
-        return max((mean for _, mean in self.means(over)), default=0.0)
+    def highest_mean(self, window_s: float) -> float:
+        """Return the greatest mean over a window of this length; 0 where nothing was opened."""
+        return max((mean for _, mean in self.window_means(window_s)), default=0.0)
 
 
 @dataclass(frozen=True, slots=True)
 class WarmUp:
     """How a cold server or dependency gains speed: evenly from a share of it to the whole."""
 
-    cold_from: float
-    warm_after: float  # seconds
+    cold_share: float  # of the full speed, at first
+    duration_s: float
 
-    def speed(self, age: float) -> float:
-        """The share of the full speed at this age, in seconds."""
-        return min(1.0, self.cold_from + (1 - self.cold_from) * max(0.0, age) / self.warm_after)
+    def speed(self, age_s: float) -> float:
+        """Return the share of the full speed at this age."""
+        return min(1.0, self.cold_share + (1 - self.cold_share) * max(0.0, age_s) / self.duration_s)
 
 
 class ColdDependency:
-    """Answers every call with DONE, slowly at first: a call takes `takes` seconds warm.
+    """Answers every call with DONE, after `call_time_s` once it is warm. It warms up from the first call on.
 
-    It warms up from the first call on. An abandoned call stays in its hands for `linger` seconds."""
+    An abandoned call stays open for `abandoned_call_s`."""
 
-    def __init__(self, takes: float, warm_up: WarmUp, linger: float) -> None:
-        self._takes, self._warm_up, self._linger = takes, warm_up, linger
-        self._began: float | None = None
-        self.load = CallLoad()
+    def __init__(self, call_time_s: float, warm_up: WarmUp, abandoned_call_s: float) -> None:
+        self._call_time_s = call_time_s
+        self._warm_up = warm_up
+        self._abandoned_call_s = abandoned_call_s
+        self._first_call_at: float | None = None
+        self.calls = OpenCalls()
 
     async def listen(self, stack: contextlib.AsyncExitStack) -> str:
-        """Serve until the stack ends; the address."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        stack.callback(server.close)
-        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        """Serve until the stack ends; return the address."""
+        return await _listen(stack, self._serve)
 
     def _speed(self, now: float) -> float:
-        if self._began is None:
-            self._began = now
-        return self._warm_up.speed(now - self._began)
+        if self._first_call_at is None:
+            self._first_call_at = now
+        return self._warm_up.speed(now - self._first_call_at)
 
-    def _leave(self) -> None:
-        self.load.change(time.monotonic(), -1)
+    def _end_call(self) -> None:
+        self.calls.end(time.monotonic())
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         loop = asyncio.get_running_loop()
-        calls: dict[str, asyncio.TimerHandle] = {}
+        open_calls: dict[str, asyncio.TimerHandle] = {}
 
         def reply(id: str) -> None:
-            del calls[id]
-            self._leave()
+            del open_calls[id]
+            self._end_call()
             writer.write(line(id, "DONE", body=b"row"))
 
         def abandon(id: str) -> None:
-            if (timer := calls.pop(id, None)) is not None:
+            if (timer := open_calls.pop(id, None)) is not None:
                 timer.cancel()
-                loop.call_later(self._linger, self._leave)
+                loop.call_later(self._abandoned_call_s, self._end_call)
 
-        parser = LineParser(lambda words: words[0] == "OP", 65536)
+        parser = LineParser(lambda words: words[0] == "OP", MAX_BODY_BYTES)
         with contextlib.suppress(OSError):
-            while data := await reader.read(65536):
+            while data := await reader.read(READ_BYTES):
                 parser.feed(data)
                 while (message := parser.next()) is not None:
                     verb, id = message[0][:2]
                     abandon(id)
                     if verb == "OP":
                         now = time.monotonic()
-                        self.load.change(now, 1)
-                        calls[id] = loop.call_later(self._takes / self._speed(now), reply, id)
-        for id in list(calls):
+                        self.calls.start(now)
+                        open_calls[id] = loop.call_later(self._call_time_s / self._speed(now), reply, id)
+        for id in list(open_calls):
             abandon(id)
         writer.transport.abort()
 
 
-STEP = 0.005  # seconds between looks at what the cores have done
-LOOK = 0.02  # seconds between looks at whether a call that was handed on is answered
+@dataclass(slots=True)
+class _Run:
+    """A run on the cores of a cold server."""
+
+    work_left_s: float
+    body: bytes
 
 
 class ColdServer(Standins):
     """A node of the next tier whose executor has just come up.
 
-    Its cores are shared evenly by all runs, each of which has `work` seconds for one warm core."""
+    Its cores are shared evenly by all runs, each of which has `work_s` seconds for one warm core."""
 
-    def __init__(self, env: dict[str, Any], work: float) -> None:
+    def __init__(self, env: dict[str, Any], work_s: float) -> None:
         super().__init__(env)
         self.warmth, self.age_ms = "chilly", 0
         info, safety = self.env["familyInfo"], self.env["safety"]
-        self._cores, self._fall, self._work = int(info["cpus"]), float(safety["fallMultiple"]), work
-        self._over = float(safety["overloadFor"])
+        self._cores = int(info["cpus"])
+        self._fall_multiple = float(safety["fallMultiple"])
+        self._overload_window_s = float(safety["overloadFor"])
         self._warm_up = WarmUp(safety["coldFrom"], safety["warmAfter"])
-        self._born = 0.0
-        self._left: dict[str, tuple[float, bytes]] = {}  # of each run, the work that is left, and its body
-        self.load = CallLoad()
+        self._work_s = work_s
+        self._started_at = 0.0
+        self._running: dict[str, _Run] = {}
+        self.load = OpenCalls()  # of runs on the cores
         self.served = 0
 
     async def run(self) -> None:
         """Do the work until cancelled."""
-        last = time.monotonic()
+        last_look_at = time.monotonic()
         while True:
-            await asyncio.sleep(STEP)
+            await asyncio.sleep(WORK_STEP_S)
             now = time.monotonic()
-            share = min(1.0, self._cores / max(1, len(self._left))) * self._warm_up.speed(now - self._born)
-            done, last = (now - last) * share, now
-            for id, (left, body) in list(self._left.items()):
-                self._left[id] = (left - done, body)
-                if left <= done:
+            speed = min(1.0, self._cores / max(1, len(self._running))) * self._warm_up.speed(now - self._started_at)
+            done_s = (now - last_look_at) * speed
+            last_look_at = now
+            for id, run in list(self._running.items()):
+                run.work_left_s -= done_s
+                if run.work_left_s <= 0:
                     self._end(id)
                     self.served += 1
-                    self.finish(id, b"done " + body)
+                    self.finish(id, b"done " + run.body)
 
     def _end(self, id: str) -> None:
-        if self._left.pop(id, None) is not None:
-            self.load.change(time.monotonic(), -1)
+        if self._running.pop(id, None) is not None:
+            self.load.end(time.monotonic())
 
     def _command(self, writer: asyncio.StreamWriter, words: list[str], body: bytes) -> None:
         match words[0]:
             case "JOIN":
-                self._born = self._born or time.monotonic()
+                self._started_at = self._started_at or time.monotonic()
                 super()._command(writer, words, body)
             case "EXEC":
-                self._left[words[1]] = (self._work, body)
-                self.load.change(time.monotonic(), 1)
+                self._running[words[1]] = _Run(self._work_s, body)
+                self.load.start(time.monotonic())
             case "METER":
-                use = min(1.0, len(self._left) / self._cores)
-                writer.write(line("METERS", words[1], f"{use:.3f}", len(self._left)))
+                core_use = min(1.0, len(self._running) / self._cores)
+                writer.write(line("METERS", words[1], f"{core_use:.3f}", len(self._running)))
             case _:
                 self._end(words[1])
                 super()._command(writer, words, body)
 
     def budget(self, at: float) -> float:
-        """Runs on the cores that the settings allow it at a time, as a mean."""
-        return (1 + (self._fall - 1) * self._warm_up.speed(at - self._born)) * self._cores
-
-    def fullest(self) -> float:
-        """The greatest mean of runs on the cores, as a part of what was allowed at the end of its window."""
-        return max((mean / self.budget(end) for end, mean in self.load.means(self._over)), default=0.0)
+        """Return the runs on the cores that the settings allow it at a time, as a mean."""
+        return (1 + (self._fall_multiple - 1) * self._warm_up.speed(at - self._started_at)) * self._cores
 
-
-_WORDS = {b"OK": "DONE", b"BUSY": "WAIT"}
+    def highest_budget_share(self) -> float:
+        """Return the greatest mean of runs on the cores, as a share of what was allowed at the end of its window."""
+        means = self.load.window_means(self._overload_window_s)
+        return max((mean / self.budget(end) for end, mean in means), default=0.0)
 
 
 class RecordsProxy:
-    """The local proxy of the records service: hands each call to one node of the next tier, and heeds no advice."""
+    """The local proxy of the records service: forwards each call to one node of the next tier, and heeds no advice."""
 
     def __init__(self, server: Standins, cls: str) -> None:
         self._server, self._cls = server, cls
         self.calls = 0
 
     async def listen(self, stack: contextlib.AsyncExitStack) -> str:
-        """Serve until the stack ends; the address."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        stack.callback(server.close)
-        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        """Serve until the stack ends; return the address."""
+        return await _listen(stack, self._serve)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        parser = LineParser(lambda words: words[0] == "OP", 65536)
+        parser = LineParser(lambda words: words[0] == "OP", MAX_BODY_BYTES)
         tasks: set[asyncio.Task[None]] = set()
         upstream: Balancer | None = None
         with contextlib.suppress(OSError):
-            while data := await reader.read(65536):
+            while data := await reader.read(READ_BYTES):
                 parser.feed(data)
                 while (message := parser.next()) is not None:
                     words, body = message
@@ -211,7 +232,7 @@
                     if upstream is None or upstream.ended:
                         upstream = await self._server.connect()
                     self.calls += 1
-                    task = asyncio.ensure_future(self._hand_on(writer, upstream, words, body))
+                    task = asyncio.ensure_future(self._forward(writer, upstream, words, body))
                     tasks.add(task)
                     task.add_done_callback(tasks.discard)
         for task in tasks:
@@ -220,12 +241,21 @@
             await upstream.close()
         writer.transport.abort()
 
-    async def _hand_on(self, writer: asyncio.StreamWriter, upstream: Balancer, words: list[str], body: bytes) -> None:
-        wait = int(words[2])
-        tag = upstream.call(self._cls, body, wait=wait)
-        until = time.monotonic() + wait / 1000
-        while tag not in upstream.answers and not upstream.ended and time.monotonic() < until:
-            await asyncio.sleep(LOOK)
+    async def _forward(self, writer: asyncio.StreamWriter, upstream: Balancer, words: list[str], body: bytes) -> None:
+        id, wait_ms = words[1], int(words[2])
+        tag = upstream.call(self._cls, body, wait=wait_ms)
+        gives_up_at = time.monotonic() + wait_ms / 1000
+        while tag not in upstream.answers and not upstream.ended and time.monotonic() < gives_up_at:
+            await asyncio.sleep(ANSWER_POLL_S)
         answer = upstream.answers.get(tag, [[b"", b"", b""]])[0]
-        word = _WORDS.get(answer[0], "ERROR")
-        writer.write(line(words[1], word, body=answer[2] if word == "DONE" else None))
+        verdict = _REPLY_BY_ANSWER.get(answer[0], "ERROR")
+        writer.write(line(id, verdict, body=answer[2] if verdict == "DONE" else None))
+
+
+async def _listen(
+    stack: contextlib.AsyncExitStack, serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+) -> str:
+    """Serve on a free port of this machine until the stack ends; return the address."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    stack.callback(server.close)
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
