--- a/tests/test_service_reader_errors.py
+++ b/tests/test_service_reader_errors.py
@@ -6,7 +6,7 @@
 from typing import Any, cast
 
 import pytest
-from hypothesis import given
+from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
 from chutepin.config import Address
@@ -22,6 +22,8 @@
 from .test_net import Wire
 from .test_reader_errors import FUZZ, ODD_NUMBERS, changed
 
+# An example runs an event loop: shrinking and explaining a failure would take minutes.
+FUZZ_LOOPS = settings(FUZZ, phases=(Phase.explicit, Phase.generate))
 REPLIES = [line("a", "DONE", body=b"row"), line("a", "WAIT"), line("b", "PAST"), line("a", "EMPTY")]
 HTTP_ANSWERS = [
     b"HTTP/1.1 204 No Content\r\n\r\n",
@@ -63,7 +65,7 @@
     return ends
 
 
-@FUZZ
+@FUZZ_LOOPS
 @given(data=st.data(), odd=ODD_NUMBERS)
 def test_any_answer_of_the_records_service_ends_its_call_once(data: st.DataObject, odd: str) -> None:
     answer = b""
@@ -104,7 +106,7 @@
     return counters
 
 
-@FUZZ
+@FUZZ_LOOPS
 @given(data=st.data(), answer=st.sampled_from(HTTP_ANSWERS), odd=ODD_NUMBERS)
 def test_any_answer_of_the_control_plane_costs_one_report(data: st.DataObject, answer: bytes, odd: str) -> None:
     words = answer.split(b" ")
