Release a key only if no notice has told of its run; end runs in doubt

Cause: the EXEC of a keyed request is unconfirmed when the executor's link breaks. On the new link the node probes the run by KILL and, when the stop is reported, writes WAKE. The stop of a run whose request is over ends it, and the WAKE is answered `unknown`, which says only that this command started nothing. Broker.run_ended took it as proof that the request never ran, and IdempotencyTable.finish_run released the key. Session knew that the run had been reported as stopped, and forgot it.

The same cause on other paths: an EXEC of a resolve behind the probe's KILL, the end of a run among missed notices, BAD for a repeated EXEC, an EXEC answered BAD that was kept and written again.

Change: Attempt.is_in_doubt and has_called hold what the notices have shown; after that neither `unknown` nor `BAD` releases the key. Only runs of open requests are probed; an open probe is not crossed by an EXEC. Session.terminate stops a run whose request is over and ends it once the stop is confirmed, so a run that the executor never reports no longer keeps its place: where a WAKE is ignored, an EXEC of a delivery was lost, or 60 s past the due time in any phase.

tests/test_net.py: its model paused the run of a request that is over; by the page (ENDED) the stop ends it, and a CANCELLED is now required to be of such a request. Two fakes and the recording ports get the port's new methods.

Why it works: a run that has been reported once is known to have begun whatever comes later; what cannot be known is answered FAILED until the window ends, never run again.

--- a/chutepin/broker/attempts.py
+++ b/chutepin/broker/attempts.py
@@ -42,11 +42,17 @@
     idempotency: Idempotency
     phase: Phase = Phase.QUEUED
     awaiting_response: bool = True
+    is_in_doubt: bool = False  # the run may have begun, and the executor may never report its end
     call_notice: int = 0  # number of the executor's notice that asked for the call
     call_body: bytes = b""
     call_started_at: float = 0.0
     answer_deadline: float = 0.0  # when the broker itself answers; replaces earlier deadlines
 
+    @property
+    def has_called(self) -> bool:
+        """Return whether the run has asked for a call, which proves that it began."""
+        return self.call_notice > 0
+
 
 @dataclass(slots=True)
 class NodeStatus:
--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -25,7 +25,7 @@
 from ..logs import Log
 from ..request_metrics import RequestMetrics
 from .actions import DecisionActions
-from .attempts import Attempt, NodeStatus, OpenAttempts, Phase
+from .attempts import NOT_STARTED, Attempt, NodeStatus, OpenAttempts, Phase
 from .decisions import DecisionQueue
 from .drain import DrainPlan
 from .idempotent import IdempotentRequests
@@ -36,7 +36,7 @@
 
 MAX_REQUESTS = 2048  # maximum number of open requests; each holds a body of up to 2 KiB
 KEY_MEMORY_SHARE = 1 / 3  # of the node's own memory, for the table of idempotency keys
-ORPHANED_RUN_TIMEOUT_S = 60.0  # past the due time, after which a run that the executor cannot end by itself is killed
+ORPHANED_RUN_TIMEOUT_S = 60.0  # past the due time, after which a run that no caller awaits is terminated
 MAX_CLOCK_LEAD_S = 1.0  # maximum by which a caller's times may exceed the node's clock and the class's deadline
 KEY_REQUEST_TIMEOUT_S = 0.5  # timeout of the peer process's answer to a key request
 SWEEP_INTERVAL_S = 1.0
@@ -255,6 +255,9 @@
         if attempt is None:
             self._counters.add("runs.unknown")
             return
+        if end is End.NOT_STARTED and (attempt.is_in_doubt or attempt.has_called):
+            self._counters.add("runs.ended_in_doubt")
+            end = End.CANCELLED  # the key is kept until its window ends
         self._counters.add(f"runs.{end.value}")
         if attempt.phase is Phase.CALLING_DEPENDENCY:
             self._records.cancel_call(id)
@@ -267,13 +270,25 @@
         self._decisions.report(RunEnded(id, end, elapsed))
         self._attempts.remove(id)
 
+    def run_may_have_begun(self, id: str) -> None:
+        """Record that a run began or may have begun: its key must not run again within the window."""
+        if (attempt := self._attempts.by_id.get(id)) is not None:
+            attempt.is_in_doubt = True
+
+    def is_response_awaited(self, id: str) -> bool:
+        """Return whether the caller of a request still awaits the response."""
+        attempt = self._attempts.by_id.get(id)
+        return attempt is not None and attempt.awaiting_response
+
     def call_wanted(self, id: str, notice: int, body: bytes) -> None:
         """Report to the decision module that a run waits for a call to the records service."""
         attempt = self._attempts.by_id.get(id)
         if attempt is None:
             self._counters.add("runs.unknown")
+            self._executor.kill(id)  # a run that was ended in doubt; at its call it would keep its memory
             return
         attempt.phase = Phase.CALL_WANTED
+        attempt.is_in_doubt = False  # the executor reports the end of this run, at its call at the latest
         attempt.call_notice = notice
         attempt.call_body = body
         self._decisions.report(CallNeeded(id))
@@ -355,13 +370,13 @@
                 self._decisions.report(CallerDisconnected(id))
 
     def _sweep(self, now: float) -> None:
-        """Resolve or kill runs that no caller awaits, and remove records of keys whose window is over."""
+        """Resolve or terminate runs that no caller awaits, and remove records of keys whose window is over."""
         for id, attempt in self._attempts.by_id.items():
-            if attempt.awaiting_response or attempt.phase not in (Phase.RUNNING, Phase.STOPPED):
+            if attempt.awaiting_response or attempt.phase in NOT_STARTED:
                 continue
-            if attempt.request.executor_detects_end:
-                self._executor.resolve(id)
-            elif attempt.request.due + ORPHANED_RUN_TIMEOUT_S < now:
-                self._executor.kill(id)
+            if attempt.is_in_doubt or attempt.request.due + ORPHANED_RUN_TIMEOUT_S < now:
+                self._executor.terminate(id)
+            elif attempt.phase in (Phase.RUNNING, Phase.STOPPED):
+                self._executor.resolve(id, attempt.request.executor_detects_end)
         self._idempotent.remove_expired(now)
         self._decisions.run()
--- a/chutepin/broker/ports.py
+++ b/chutepin/broker/ports.py
@@ -32,8 +32,11 @@
     def bypass(self, id: str, notice: int) -> None:
         """Resume a run without its call."""
 
-    def resolve(self, id: str) -> None:
-        """Query whether a run in doubt is still in progress."""
+    def resolve(self, id: str, executor_detects_end: bool) -> None:
+        """Find out the end of a run in doubt whose request is over."""
+
+    def terminate(self, id: str) -> None:
+        """Stop a run whose request is over; its end is reported even if the executor reports none."""
 
     def meter(self) -> bool:
         """Request fresh gauges; return false if the executor cannot answer now."""
--- a/chutepin/net/executor/link.py
+++ b/chutepin/net/executor/link.py
@@ -51,8 +51,11 @@
 
     def kill(self, id: str) -> None:
         """Stop a run."""
-        self._session.forget_probe(id)
-        self._session.command(id, line("KILL", id), True)
+        self._session.stop(id)
+
+    def terminate(self, id: str) -> None:
+        """Stop a run, and report its end once the executor has read the stop, even without a notice."""
+        self._session.terminate(id)
 
     def return_reply(self, id: str, reply: bytes) -> None:
         """Send the reply to the call that a run waits for."""
@@ -62,9 +65,9 @@
         """Let a run continue without its call."""
         self._session.command(id, line("BYPASS", id, notice), True)
 
-    def resolve(self, id: str) -> None:
-        """Have the executor report the run of a request that has ended, if its EXEC is unconfirmed."""
-        self._session.resolve(id)
+    def resolve(self, id: str, executor_detects_end: bool) -> None:
+        """Find out the end of the run of a request that is over, if its EXEC is unconfirmed."""
+        self._session.resolve(id, executor_detects_end)
 
     def meter(self) -> bool:
         """Request the gauges; return False while no executor is connected."""
--- a/chutepin/net/executor/session.py
+++ b/chutepin/net/executor/session.py
@@ -1,7 +1,8 @@
 """The executor protocol without a socket: commands out, numbered notices in.
 
 The executor reads commands in order, so a command is confirmed once a `METERS` answers a later `METER` of the same
-link. A command that is unconfirmed when its link is lost may or may not have been read."""
+link. A command that is unconfirmed when its link is lost may or may not have been read; `unconfirmed_runs` decides
+what is asked about an EXEC that may not be written twice."""
 
 from __future__ import annotations
 
@@ -15,6 +16,7 @@
 from ...logs import Log
 from ..lines import LineParser, ProtocolError, line, number_at, word_at
 from .repeated_returns import CallState, RepeatedReturns
+from .unconfirmed_runs import UnconfirmedRuns
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_LINE_BYTES = 16 * 1024  # LOG lines are the longest; a rejected one would arrive again on each new link
@@ -30,6 +32,12 @@
     def run_ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
         """Handle the end of a run after `elapsed` seconds."""
 
+    def run_may_have_begun(self, id: str) -> None:
+        """Record that a run began or may have begun, so a later `End.NOT_STARTED` does not prove the opposite."""
+
+    def is_response_awaited(self, id: str) -> bool:
+        """Return whether the caller of a run's request still awaits the response."""
+
     def call_wanted(self, id: str, notice: int, body: bytes) -> None:
         """Handle a run's request for a call with this body; `notice` is the number by which to bypass it."""
 
@@ -48,10 +56,15 @@
     data: bytes
     repeatable: bool  # may be written again on a new link
     answers_call: bool = False  # the command is a RETURN
+    ends_run: bool = False  # the command is a KILL, and its confirmation ends the run even without a notice
     written: bool = False
     in_doubt: bool = False  # written on a lost link, so it may have been read
     confirmed_by: int = 0  # the number of the METER whose answer confirms it
 
+    def is_confirmed(self, meter: int) -> bool:
+        """Return whether the answer to this METER shows that the command was read."""
+        return self.written and self.confirmed_by <= meter
+
 
 class Session:
     """The state of the protocol across links: which commands are unconfirmed and which notices have been handled.
@@ -68,9 +81,7 @@
         self._last_meter = 0
         self._commands: list[Command] = []
         self._welcomed = False
-        self._unconfirmed_runs: dict[str, Command] = {}  # EXECs that may or may not have been read, by request id
-        self._probes: dict[str, int] = {}  # probed run to the METER whose answer ends the probe
-        self._probe_kills: dict[str, int] = {}  # run to the METER until whose answer a stop counts as a probe's
+        self._unconfirmed_runs = UnconfirmedRuns()
         self._repeated_returns = RepeatedReturns()
         self._sync_meter = -1  # its answer shows that all missed notices were received; -1 once answered
         self._quiesce_meter = -1  # its answer shows that all commands of a link to be closed were read
@@ -105,9 +116,8 @@
     def lost(self) -> None:
         """End the link. A command that may have been read and is not repeatable is not written again."""
         self.send, self._welcomed, self._sync_meter, self._quiesce_meter = None, False, -1, -1
-        self._probes.clear()
         self._repeated_returns.link_lost()
-        self._unconfirmed_runs |= {c.id: c for c in self._commands if c.written and not c.repeatable}
+        self._unconfirmed_runs.link_lost({c.id: c.data for c in self._commands if c.written and not c.repeatable})
         self._commands = [command for command in self._commands if command.repeatable or not command.written]
         for command in self._commands:  # a METER on the next link does not confirm commands of this one
             command.in_doubt |= command.written
@@ -134,48 +144,62 @@
         self.send(line("METER", self._last_meter))
         return True
 
-    def resolve(self, id: str) -> None:
-        """Write an unconfirmed EXEC again, for a request that has ended or a probe that found no run.
+    def resolve(self, id: str, executor_detects_end: bool) -> None:
+        """Find out the end of an unconfirmed run whose request is over.
+
+        An executor that detects the end of the request ignores the EXEC of an existing run; otherwise it starts no run
+        and reports that. Any other executor would start the run, so the run is terminated."""
+        if not self.synced or not self._unconfirmed_runs.is_unresolved(id):
+            return
+        if executor_detects_end:
+            self._repeat_exec(id)
+        else:
+            self.terminate(id)
+
+    def stop(self, id: str) -> None:
+        """Stop a run whose request is over; the run ends with its notice, or at once if it may never have begun."""
+        if self._unconfirmed_runs.is_unconfirmed(id):
+            self.terminate(id)
+            return
+        self._unconfirmed_runs.forget(id)
+        self.command(id, line("KILL", id), True)
+
+    def terminate(self, id: str) -> None:
+        """Stop a run whose request is over, and report its end once the stop is confirmed, even without a notice.
+
+        Nothing is reported for a run that never began, and an executor may ignore a run that it has ended before."""
+        if any(command.ends_run and command.id == id for command in self._commands):
+            return
+        self._counters.add("executor.terminated")
+        self._unconfirmed_runs.forget(id)
+        self._add(Command(id, line("KILL", id), True, ends_run=True))
+        self.meter()
 
-        The executor ignores the EXEC of an existing run. For a request that has ended it starts no run and reports
-        that."""
-        if id in self._unconfirmed_runs and self.synced:
-            self._counters.add("executor.resolved")
-            self.command(id, self._unconfirmed_runs.pop(id).data, False)
+    def _repeat_exec(self, id: str) -> None:
+        self._counters.add("executor.resolved")
+        self._add(Command(id, self._unconfirmed_runs.take_exec(id), False, in_doubt=True))
 
     def _probe_unconfirmed_runs(self) -> None:
-        """Stop the unconfirmed runs, which pauses them, to find out which ones exist.
-
-        A run that exists is reported as stopped and then resumed. If a run is not reported, its EXEC was not read and
-        is written again.
-
-        Without the probe, a run that was never started would hold its place until its request ends. An EXEC written
-        again without the probe could arrive after the end of the run and start it a second time."""
-        stopped = {command.id for command in self._commands if command.data.startswith(b"KILL ")}
-        for id in self._unconfirmed_runs if self._stopped_runs_can_resume else ():
-            assert self.send is not None
-            self._probes[id] = self._last_meter + 1
-            if id not in stopped:  # otherwise the stop is requested, and was just written
-                self.send(line("KILL", id))
-                self._probe_kills[id] = self._last_meter + 1
-        if self._probes:
+        """Stop the unconfirmed runs whose requests are open, to find out which ones exist.
+
+        A run of a request that is over is not probed: the stop would end the run, whose result a retry may need."""
+        assert self.notices is not None and self.send is not None
+        if not self._stopped_runs_can_resume:
+            return
+        probed_ids = [id for id in self._unconfirmed_runs.unresolved_ids() if self.notices.is_response_awaited(id)]
+        for id in probed_ids:
+            self._unconfirmed_runs.probed(id, self._last_meter + 1)
+            self.send(line("KILL", id))
+        if probed_ids:
+            self._counters.add("executor.probed", len(probed_ids))
             self.meter()
 
-    def _expire_probes(self, meter: int) -> None:
-        """End the probes that are unanswered at this METER: their EXEC was not read and is written again."""
-        self._probe_kills = {
-            id: probe_meter
-            for id, probe_meter in self._probe_kills.items()
-            if probe_meter > meter or id in self._probes
-        }
-        for id in [id for id, probe_meter in self._probes.items() if probe_meter <= meter]:
-            del self._probes[id]
-            self._probe_kills[id] = self._last_meter + 2  # the stop may still be reported late
-            self.resolve(id)
-
-    def forget_probe(self, id: str) -> None:
-        """Treat a later stop of this run as requested, not as the answer to a probe."""
-        self._probe_kills.pop(id, None)
+    def _repeat_execs_not_found(self, meter: int) -> None:
+        """Write the EXECs again whose probes found no run by this METER, unless their requests are over meanwhile."""
+        assert self.notices is not None
+        for id in self._unconfirmed_runs.meter_answered(meter, self._last_meter):
+            if self.notices.is_response_awaited(id):
+                self._repeat_exec(id)
 
     def _write(self, command: Command) -> None:
         assert self.send is not None
@@ -212,7 +236,7 @@
             case "METERS":
                 self._handle_meters(int(number_at(words, 1)), tuple(number_at(words, i) for i in range(2, len(words))))
             case "BAD":
-                self.notices.command_not_carried_out(word_at(words, 1), words[2] if len(words) > 2 else "")
+                self._handle_rejected_command(word_at(words, 1), words[2] if len(words) > 2 else "")
             case "LOG":
                 if self._is_new_notice(int(number_at(words, 1))):
                     self._log.event("executor.log", text=" ".join(words[2:]))
@@ -230,14 +254,17 @@
         if state is CallState.IN_DOUBT:
             self._counters.add("executor.returns_in_doubt")
         self._confirm_run(id)
-        self._probe_kills.pop(id, None)
         self.notices.call_wanted(id, notice, body)
 
     def _handle_run_end(self, id: str, end: End, elapsed: float, result: bytes) -> None:
         assert self.notices is not None
+        was_probed = self._unconfirmed_runs.is_stopped_by_probe(id)
         self._confirm_run(id)
-        if end is End.CANCELLED and self._probe_kills.pop(id, None) is not None:
+        if end is End.CANCELLED and was_probed and self.notices.is_response_awaited(id):
             self._counters.add("executor.woken")
+            # The request may be over without this node knowing it yet: the stop has then ended the run, and the
+            # executor answers the WAKE with `unknown`.
+            self.notices.run_may_have_begun(id)
             self.command(id, line("WAKE", id), True)
             return
         if end is End.CANCELLED and self._stopped_runs_can_resume:
@@ -250,8 +277,19 @@
     def _confirm_run(self, id: str) -> None:
         """Drop the commands of a run: a notice shows that they were read or no longer matter."""
         self._commands = [command for command in self._commands if command.id != id]
-        self._unconfirmed_runs.pop(id, None)
-        self._probes.pop(id, None)
+        self._unconfirmed_runs.forget(id)
+
+    def _handle_rejected_command(self, word: str, id: str) -> None:
+        """Pass on that a command was not carried out.
+
+        The rejection of a repeated EXEC proves nothing about the EXEC before it."""
+        assert self.notices is not None
+        if word == "EXEC":
+            execs = [command for command in self._commands if command.id == id and command.data.startswith(b"EXEC ")]
+            if any(command.in_doubt for command in execs):
+                self.notices.run_may_have_begun(id)
+            self._commands = [command for command in self._commands if command not in execs]
+        self.notices.command_not_carried_out(word, id)
 
     def _is_new_notice(self, notice: int) -> bool:
         """Return whether a notice is new; repeated and missed ones are counted (the executor keeps the last 4,000)."""
@@ -260,13 +298,26 @@
             return False
         if notice > self._last_notice + 1:
             self._counters.add("executor.notices_missed", notice - self._last_notice - 1)
+            self._handle_missed_notices()
         self._last_notice = notice
         self._counters.add("executor.notices")
         return True
 
+    def _handle_missed_notices(self) -> None:
+        """Write no unconfirmed EXEC again: the end of its run may be among the notices that were missed."""
+        assert self.notices is not None
+        for id in self._unconfirmed_runs.unresolved_ids():
+            self._unconfirmed_runs.forget(id)
+            self.notices.run_may_have_begun(id)
+
     def _handle_meters(self, meter: int, values: tuple[float, ...]) -> None:
         assert self.notices is not None
-        self._commands = [c for c in self._commands if not c.written or c.confirmed_by > meter]
+        terminated_ids = [c.id for c in self._commands if c.ends_run and c.is_confirmed(meter)]
+        self._commands = [command for command in self._commands if not command.is_confirmed(meter)]
+        for id in terminated_ids:
+            self._confirm_run(id)
+            self._repeated_returns.run_ended(id)
+            self.notices.run_ended(id, End.CANCELLED, 0.0, b"")
         if meter >= self._sync_meter >= 0:
             self._sync_meter = -1
             self._repeated_returns.link_synced()
@@ -274,7 +325,7 @@
                 self._write(command)
             self._probe_unconfirmed_runs()
         self._repeated_returns.meter_answered(meter)
-        self._expire_probes(meter)
+        self._repeat_execs_not_found(meter)
         if meter >= self._quiesce_meter >= 0:
             self.on_quiesced()
         self.notices.gauges_received(values)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -65,9 +65,12 @@
     def bypass(self, id: str, notice: int) -> None:
         self.done.append(("bypass", id, notice))
 
-    def resolve(self, id: str) -> None:
+    def resolve(self, id: str, executor_detects_end: bool) -> None:
         self.done.append(("resolve", id))
 
+    def terminate(self, id: str) -> None:
+        self.done.append(("terminate", id))
+
     def meter(self) -> bool:
         return False
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -142,7 +142,15 @@
     def executor_started(self, is_warming_up: bool, started_at: float) -> None: ...
     def gauges_received(self, values: tuple[float, ...]) -> None: ...
 
+    def run_may_have_begun(self, id: str) -> None: ...
+
+    def is_response_awaited(self, id: str) -> bool:
+        return id not in self.ended_requests
+
     def run_ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
+        if end is End.CANCELLED:
+            assert id in self.ended_requests, "run of an open request was stopped for good"
+            return
         assert result == id.encode() and end is End.OK
         self.received_ends.append(id)
 
@@ -213,10 +221,7 @@
             elif words[0] == "METER":
                 self.to_node += line("METERS", words[1], 1)
             elif words[0] == "KILL":
-                if words[1] in self.running:
-                    self.running.discard(words[1])
-                    self.paused.add(words[1])
-                    self.add_notice("EXIT", words[1], "cancelled")
+                self.stop_run(words[1])
             elif words[0] == "WAKE":
                 if words[1] in self.paused:
                     self.paused.discard(words[1])
@@ -226,6 +231,15 @@
                 self.running.add(words[1])
                 self.start_counts[words[1]] = self.start_counts.get(words[1], 0) + 1
 
+    def stop_run(self, id: str) -> None:
+        """Pause a run; the run of a request that is over ends."""
+        if id not in self.running:
+            return
+        self.running.discard(id)
+        if id not in self.ended_requests:
+            self.paused.add(id)
+        self.add_notice("EXIT", id, "cancelled")
+
     @rule(data=st.data())
     def run_ends(self, data: st.DataObject) -> None:
         if self.running:
@@ -250,7 +264,8 @@
         for id in self.requested:
             if id.startswith("key"):
                 self.ended_requests.add(id)
-                self.link.resolve(id)
+                self.paused.discard(id)
+                self.link.resolve(id, executor_detects_end=True)
 
     @invariant()
     def notices_and_keyed_runs_once(self) -> None:
--- a/tests/test_repeated_returns.py
+++ b/tests/test_repeated_returns.py
@@ -72,6 +72,11 @@
 
     def command_not_carried_out(self, command: str, id: str) -> None: ...
 
+    def run_may_have_begun(self, id: str) -> None: ...
+
+    def is_response_awaited(self, id: str) -> bool:
+        return True
+
     def run_ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
         assert id not in self.received_ends
         self.received_ends[id] = end, result
