Executor session: pending commands and the notice port become modules of their own

Change: commands.PendingCommands owns the order of commands, what a METERS confirms and what a lost link leaves in doubt; notices holds the port to the broker. No behaviour changes.

--- a/chutepin/net/executor/session.py
+++ b/chutepin/net/executor/session.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
 
 from ...clock import Clock
 from ...counters import Counters
 from ...facade import End
 from ...logs import Log
 from ..lines import LineParser, ProtocolError, line, number_at, word_at
+from .commands import Command, PendingCommands
+from .notices import NoticeHandler
 from .repeated_returns import CallState, RepeatedReturns
 from .unconfirmed_runs import UnconfirmedRuns
 
@@ -23,49 +23,6 @@
 _ENDS = {"complete": End.OK, "error": End.ERROR, "cancelled": End.CANCELLED, "unknown": End.NOT_STARTED}
 
 
-class NoticeHandler(Protocol):
-    """The receiver of the executor's notices."""
-
-    def executor_started(self, is_warming_up: bool, started_at: float) -> None:
-        """Handle the start of an executor process at `started_at`, which may still be warming up."""
-
-    def run_ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
-        """Handle the end of a run after `elapsed` seconds."""
-
-    def run_may_have_begun(self, id: str) -> None:
-        """Record that a run began or may have begun, so a later `End.NOT_STARTED` does not prove the opposite."""
-
-    def is_response_awaited(self, id: str) -> bool:
-        """Return whether the caller of a run's request still awaits the response."""
-
-    def call_wanted(self, id: str, notice: int, body: bytes) -> None:
-        """Handle a run's request for a call with this body; `notice` is the number by which to bypass it."""
-
-    def command_not_carried_out(self, command: str, id: str) -> None:
-        """Handle a command that the executor could not carry out."""
-
-    def gauges_received(self, values: tuple[float, ...]) -> None:
-        """Handle the gauges, in the order of the settings."""
-
-
-@dataclass(slots=True)
-class Command:
-    """A command that is not yet confirmed."""
-
-    id: str
-    data: bytes
-    repeatable: bool  # may be written again on a new link
-    answers_call: bool = False  # the command is a RETURN
-    ends_run: bool = False  # the command is a KILL, and its confirmation ends the run even without a notice
-    written: bool = False
-    in_doubt: bool = False  # written on a lost link, so it may have been read
-    confirmed_by: int = 0  # the number of the METER whose answer confirms it
-
-    def is_confirmed(self, meter: int) -> bool:
-        """Return whether the answer to this METER shows that the command was read."""
-        return self.written and self.confirmed_by <= meter
-
-
 class Session:
     """The state of the protocol across links: which commands are unconfirmed and which notices have been handled.
 
@@ -79,7 +36,7 @@
         self._parser = self._new_parser()
         self._last_notice = 0
         self._last_meter = 0
-        self._commands: list[Command] = []
+        self._commands = PendingCommands()
         self._welcomed = False
         self._unconfirmed_runs = UnconfirmedRuns()
         self._repeated_returns = RepeatedReturns()
@@ -117,11 +74,7 @@
         """End the link. A command that may have been read and is not repeatable is not written again."""
         self.send, self._welcomed, self._sync_meter, self._quiesce_meter = None, False, -1, -1
         self._repeated_returns.link_lost()
-        self._unconfirmed_runs.link_lost({c.id: c.data for c in self._commands if c.written and not c.repeatable})
-        self._commands = [command for command in self._commands if command.repeatable or not command.written]
-        for command in self._commands:  # a METER on the next link does not confirm commands of this one
-            command.in_doubt |= command.written
-            command.written = False
+        self._unconfirmed_runs.link_lost(self._commands.link_lost())
 
     def command(self, id: str, data: bytes, repeatable: bool) -> None:
         """Write a command now, or once the link is synced."""
@@ -132,7 +85,7 @@
         self._add(Command(id, line("RETURN", id, body=reply), True, answers_call=True))
 
     def _add(self, command: Command) -> None:
-        self._commands.append(command)
+        self._commands.add(command)
         if self.synced:
             self._write(command)
 
@@ -168,7 +121,7 @@
         """Stop a run whose request is over, and report its end once the stop is confirmed, even without a notice.
 
         Nothing is reported for a run that never began, and an executor may ignore a run that it has ended before."""
-        if any(command.ends_run and command.id == id for command in self._commands):
+        if self._commands.is_terminating(id):
             return
         self._counters.add("executor.terminated")
         self._unconfirmed_runs.forget(id)
@@ -276,7 +229,7 @@
 
     def _confirm_run(self, id: str) -> None:
         """Drop the commands of a run: a notice shows that they were read or no longer matter."""
-        self._commands = [command for command in self._commands if command.id != id]
+        self._commands.remove_run(id)
         self._unconfirmed_runs.forget(id)
 
     def _handle_rejected_command(self, word: str, id: str) -> None:
@@ -284,11 +237,8 @@
 
         The rejection of a repeated EXEC proves nothing about the EXEC before it."""
         assert self.notices is not None
-        if word == "EXEC":
-            execs = [command for command in self._commands if command.id == id and command.data.startswith(b"EXEC ")]
-            if any(command.in_doubt for command in execs):
-                self.notices.run_may_have_begun(id)
-            self._commands = [command for command in self._commands if command not in execs]
+        if word == "EXEC" and any(command.in_doubt for command in self._commands.remove_execs(id)):
+            self.notices.run_may_have_begun(id)
         self.notices.command_not_carried_out(word, id)
 
     def _is_new_notice(self, notice: int) -> bool:
@@ -312,9 +262,7 @@
 
     def _handle_meters(self, meter: int, values: tuple[float, ...]) -> None:
         assert self.notices is not None
-        terminated_ids = [c.id for c in self._commands if c.ends_run and c.is_confirmed(meter)]
-        self._commands = [command for command in self._commands if not command.is_confirmed(meter)]
-        for id in terminated_ids:
+        for id in self._commands.confirm(meter):
             self._confirm_run(id)
             self._repeated_returns.run_ended(id)
             self.notices.run_ended(id, End.CANCELLED, 0.0, b"")
--- a/tests/test_runs_in_doubt.py
+++ b/tests/test_runs_in_doubt.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from chutepin.net.executor.commands import Command, PendingCommands
+
 from .executor_world import DEADLINE_S, STEP_S, WINDOW_S, RunState, World
 
 KEY_GRACE_S = 6.0  # past the window, within which the record of a key is removed
@@ -312,6 +314,14 @@
     assert not world.notices, "the executor has answered an EXEC of an attempt that was over"
 
 
+def test_rejected_exec_is_not_unconfirmed_after_the_loss_of_its_link() -> None:
+    commands = PendingCommands()
+    commands.add(Command("a", b"EXEC a", repeatable=False, written=True))
+    commands.add(Command("b", b"EXEC b", repeatable=False, written=True))
+    commands.remove_execs("a")
+    assert commands.link_lost() == {"b": b"EXEC b"}
+
+
 class RandomSteps:
     """Random steps of one world; a step that cannot be taken does nothing."""
 
