Keep unknown keys of AMQP deliveries in doubt for the redelivery window

A successor that did not receive all keys of a process that died takes a message that is delivered again after the longest window of a class (44 s) as new, and runs it a second time, although the key of a delivery is kept for the redelivery window (900 s in deploy/amqp.toml).

Cause: Node._build_handover gave the state machine the longest window of the classes alone.

Change: the longest time that any key is kept counts. A request of a balancer, whose key is kept for its class's window alone, is not refused for longer than before: ownership() takes the lifetime of the key that is asked for. A doubt that the predecessor tells of (SYNCED) has no beginning, so it holds for every key until its end.

--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -151,7 +151,8 @@
             verdict = Verdict.FAILED if self._idempotent.has_run(request) else Verdict.REJECTED
             self._answer_without_attempt(request, caller, verdict, "requests.past_stop")
             return
-        ownership = self.peer.ownership(now) if is_new_key else KeyOwnership.OWNED
+        key_lifetime_s = max(cls.window, request.min_key_lifetime_s)
+        ownership = self.peer.ownership(now, key_lifetime_s) if is_new_key else KeyOwnership.OWNED
         if ownership is KeyOwnership.IN_DOUBT:
             self._answer_without_attempt(request, caller, Verdict.FAILED, "keys.in_doubt")
             return
--- a/chutepin/handover/session.py
+++ b/chutepin/handover/session.py
@@ -95,9 +95,9 @@
 
     # The broker's `PeerProcess`, and `IdempotencyTable.replicate`:
 
-    def ownership(self, now: float) -> KeyOwnership:
-        """Return which process may take a key that is not in this process's table."""
-        return self.machine.ownership(now)
+    def ownership(self, now: float, key_lifetime_s: float) -> KeyOwnership:
+        """Return which process may take a key that is not in this process's table and is kept for `key_lifetime_s`."""
+        return self.machine.ownership(now, key_lifetime_s)
 
     def request_key(self, request: KeyRequest) -> None:
         """Request a key from the peer process, which owns unknown keys."""
@@ -165,7 +165,7 @@
             case KeyReply(request_id, key, is_granted):
                 self._host.key_replied(request_id, key, is_granted)
             case KeysSynced(in_doubt_until):
-                self.machine.in_doubt_until = in_doubt_until
+                self.machine.adopt_doubt(in_doubt_until)
                 self._request_takeover()
             case LearnedStatistics(statistics):
                 self._host.adopt_statistics(statistics)
--- a/chutepin/handover/state_machine.py
+++ b/chutepin/handover/state_machine.py
@@ -158,17 +158,25 @@
         self.key_window_s = key_window_s
         self.stage = Stage.ALONE
         self.deadline = math.inf  # when the predecessor is considered stalled
-        self.in_doubt_until = -math.inf  # until then an unknown key may have run at a process that cannot be queried
+        # In between, an unknown key may have run at a process that cannot be queried.
+        self.in_doubt_since = -math.inf
+        self.in_doubt_until = -math.inf
 
     @property
     def owns_keys(self) -> bool:
         """Return whether this process owns unknown keys, regardless of `in_doubt_until`."""
         return OWNERSHIP[self.stage] is KeyOwnership.OWNED
 
-    def ownership(self, now: float) -> KeyOwnership:
-        """Return which process may take a key that is not in this process's table."""
+    def ownership(self, now: float, key_lifetime_s: float | None = None) -> KeyOwnership:
+        """Return which process may take a key that is not in this process's table.
+
+        `key_lifetime_s`: how long the key is kept after its run; a key that is kept for a shorter time than others is
+        in doubt for a shorter time. None: as long as any key."""
         ownership = OWNERSHIP[self.stage]
-        if ownership is KeyOwnership.OWNED and now < self.in_doubt_until:
+        in_doubt_until = self.in_doubt_until
+        if key_lifetime_s is not None:
+            in_doubt_until = min(in_doubt_until, self.in_doubt_since + key_lifetime_s)
+        if ownership is KeyOwnership.OWNED and now < in_doubt_until:
             return KeyOwnership.IN_DOUBT
         return ownership
 
@@ -180,9 +188,14 @@
         self.stage = transition.stage
         self.deadline = now + _ENTRY_TIMEOUTS_S.get(self.stage, math.inf)
         if transition.puts_keys_in_doubt:
+            self.in_doubt_since = now
             self.in_doubt_until = now + self.key_window_s
         return True
 
+    def adopt_doubt(self, in_doubt_until: float) -> None:
+        """Keep unknown keys in doubt until a time that the predecessor has given, whatever their lifetime."""
+        self.in_doubt_since = self.in_doubt_until = in_doubt_until
+
     def extend_deadline(self, now: float) -> None:
         """Extend the deadline, if there is one, after a frame of the predecessor."""
         if self.deadline < math.inf:
--- a/chutepin/idempotency/peer.py
+++ b/chutepin/idempotency/peer.py
@@ -26,8 +26,8 @@
 class PeerProcess(Protocol):
     """The second process of the node during an upgrade."""
 
-    def ownership(self, now: float) -> KeyOwnership:
-        """Return which process may take a key that is not in this process's table."""
+    def ownership(self, now: float, key_lifetime_s: float) -> KeyOwnership:
+        """Return which process may take a key that is not in this process's table and is kept for `key_lifetime_s`."""
 
     def request_key(self, request: KeyRequest) -> None:
         """Request a key. The answer is passed to `PeerExchange.key_replied`, unless the peer ends before."""
@@ -36,7 +36,7 @@
 class NoPeerProcess:
     """The absence of a peer process: this process owns every key."""
 
-    def ownership(self, now: float) -> KeyOwnership:
+    def ownership(self, now: float, key_lifetime_s: float) -> KeyOwnership:
         """Return that this process owns every key."""
         return KeyOwnership.OWNED
 
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -116,7 +116,7 @@
         self.recorder = self._build_recorder(record) if record is not None else None
         self.source = self._build_source(read) if read is not None else None
         directory = os.environ.get("TMPDIR")
-        self.handover = self._build_handover(directory) if directory else None
+        self.handover = self._build_handover(directory, amqp) if directory else None
         self._is_serving = False
         self.reporter = Reporter(config.control, config.name, self._ready, self.counters, config.seed)
         self._leave_requested = asyncio.Event()
@@ -202,10 +202,12 @@
 
         return Source(path, self.config.listen.port, self.front, self.clock)
 
-    def _build_handover(self, directory: str) -> HandoverLink:
+    def _build_handover(self, directory: str, amqp: AmqpConfig | None) -> HandoverLink:
         """Build the hand-over between two processes of this node, which connect through a socket in `directory`."""
         config = self.config
         window = max((cls.window for cls in config.settings.classes), default=0.0)
+        if amqp is not None:  # the key of a delivery is kept for the redelivery window
+            window = max(window, amqp.redelivery_window)
         path = rendezvous_path(directory, config.name, f"{config.listen.host}:{config.listen.port}")
         host = NodeHandoverHost(
             self.broker, self.front, self.subsystems, self.lifecycle, self.descriptors, self.sockets
--- a/tests/test_handover_session.py
+++ b/tests/test_handover_session.py
@@ -358,11 +358,11 @@
     process.core.pick("a", "work-order", key="held")
     process.session.machine.stage = stage
     records = dict(process.core.broker.keys.records)
-    ownership = process.session.ownership(process.core.hand.time)
+    ownership = process.session.ownership(process.core.hand.time, WINDOW)
     with pytest.raises(MalformedFrameError):
         process.session.receive(MALFORMED_FRAMES[name])
     assert process.session.machine.stage is stage
     assert process.core.broker.keys.records == records
-    assert process.session.ownership(process.core.hand.time) is ownership
+    assert process.session.ownership(process.core.hand.time, WINDOW) is ownership
     process.core.end("a")
     assert process.core.words("a") == ["served"]
