AMQP: consume a queue with keys only while unknown keys are not in doubt

A successor consumes as soon as its executor is up. Until it owns the keys, the broker fails a keyed delivery whose key it does not know, and the consumer rejects it without requeue: the message is lost to a dead-letter exchange, though another process or a later moment could have run it.

Cause: Consumer.update_consumption looked at the announced value and the pause of the queue alone.

Change: a queue whose class has keys is not consumed while unknown keys are in doubt for the time that its keys are kept. Queues without keys are consumed as before, and so is everything while the peer process can be asked.

--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -118,6 +118,10 @@
         """Return whether any caller awaits a response or any run is in progress."""
         return bool(self._attempts.by_id)
 
+    def are_unknown_keys_in_doubt(self, key_lifetime_s: float) -> bool:
+        """Return whether a request fails whose key is not in the table: the key may have run at another process."""
+        return self.peer.ownership(self._clock.now(), key_lifetime_s) is KeyOwnership.IN_DOUBT
+
     @property
     def last_arrival(self) -> float | None:
         """Return the arrival time after which a request is not run; None before a drain."""
--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -25,7 +25,7 @@
 from ...clock import Clock
 from ...config import AmqpConfig, QueueConfig
 from ...counters import Counters
-from ...decision import LoadSignal
+from ...decision import Idempotency, LoadSignal
 from ...logs import Log
 from ..lines import ProtocolError
 from .reconnect import ReconnectDelay
@@ -169,7 +169,7 @@
         for id, delivery in list(self._open_deliveries.items()):
             if delivery.session is session:
                 del self._open_deliveries[id]
-                if self.broker.classes[self.config.queues[delivery.queue].cls].idempotency.value != "keyed":
+                if not self._is_keyed(delivery.queue):
                     self.broker.caller_disconnected(id)
 
     def update_consumption(self, session: Session) -> None:
@@ -181,11 +181,22 @@
             window = consumption_window(self.broker.load_signal, self.broker.value, self.config.prefetch)
         session.set_window(window)
         for index, resume_at in enumerate(self._resume_at):
-            if window > 0 and not self._leaving and now >= resume_at:
+            if window > 0 and not self._leaving and now >= resume_at and self._may_consume(index):
                 session.consume(index)
             else:
                 session.pause(index)
 
+    def _may_consume(self, index: int) -> bool:
+        """Return whether a queue can be consumed: a delivery whose key is in doubt fails and is not delivered again."""
+        if not self._is_keyed(index):
+            return True
+        window_s = self.broker.classes[self.config.queues[index].cls].window
+        return not self.broker.are_unknown_keys_in_doubt(max(window_s, self.config.redelivery_window))
+
+    def _is_keyed(self, index: int) -> bool:
+        """Return whether the requests of a queue have idempotency keys."""
+        return self.broker.classes[self.config.queues[index].cls].idempotency is Idempotency.KEYED
+
     def leave(self) -> None:
         """Stop consuming."""
         self._leaving = True
