Hand-over: read what an ended peer process has sent before its keys are taken over

A key that the predecessor had claimed and run could run again at the successor (or the other way round) when the claimant was killed.

Cause: asyncio closes a transport at its first failed write and drops what was received and not read. A process that replicates a key of its own before it reads the end of the link so loses the peer's last claim, and IdempotencyTable.peer_lost removes the key as reserved only. The same holds for frames behind a malformed one.

The model of upgrades assumed that the survivor reads the rest of the kernel's buffer first.

Change: handover.connection shuts the socket down and passes on what the peer has sent before the end of the stream, and ends it without an error; asyncio's own streams are used no more here. Behind a malformed frame unknown keys are in doubt for one window.

Why it works: after the shutdown the peer can send nothing, so the conclusion is drawn from all it has ever claimed.

--- a/chutepin/handover/__init__.py
+++ b/chutepin/handover/__init__.py
@@ -4,9 +4,9 @@
 and recovery when either process stalls or dies.
 
 Without I/O: `state_machine` (stages and transitions), `session` (message handling), `messages` and `frames` (message
-types and their encoding). With I/O: `rendezvous` (the Unix socket through which the processes connect) and `link` (the
-connection). The node is accessed through the port `HandoverHost`. `docs/operation.md` describes the design and prints
-the transition table."""
+types and their encoding). With I/O: `rendezvous` (the Unix socket through which the processes connect), `connection`
+(streams that lose no bytes of a peer that ends) and `link` (the transport of a session). The node is accessed through
+the port `HandoverHost`. `docs/operation.md` describes the design and prints the transition table."""
 
 from .link import HandoverLink
 from .messages import ProcessUsage
--- a/chutepin/handover/link.py
+++ b/chutepin/handover/link.py
@@ -13,6 +13,7 @@
 from ..counters import Counters
 from ..logs import Log
 from ..net.lines import ProtocolError
+from .connection import open_stream
 from .frames import PROTOCOL_VERSION, Frame, FrameReader, decode, encode, is_compatible_hello
 from .messages import HandoverAccepted, Hello, Rejection
 from .rendezvous import Rendezvous
@@ -162,7 +163,7 @@
             for old_socket in self.sockets:
                 old_socket.close()
             self.sockets = sockets
-            reader, writer = await asyncio.open_connection(sock=sock)
+            reader, writer = await open_stream(sock)
         except (OSError, TimeoutError, ProtocolError) as error:
             sock.close()
             self._log.event("handover.connect_failed", why=str(error) or "the predecessor did not answer HELLO in time")
@@ -195,9 +196,11 @@
     async def _receive_from_predecessor(self, reader: asyncio.StreamReader, frames: FrameReader) -> None:
         """Receive from the predecessor until the link ends or the hand-over is rejected, then update the session."""
         rejection: Rejection | None = None
+        are_frames_lost = False
         try:
             rejection = await self._receive_until_rejected(reader, frames)
-        except (OSError, ProtocolError) as error:
+        except ProtocolError as error:
+            are_frames_lost = True
             self._log.event("handover.link_broken", why=str(error))
         finally:
             if self._writer is not None:
@@ -208,7 +211,7 @@
                 self._counters.add("handover.rejected")
             else:
                 is_alive = self._stage is not Stage.TAKEN_OVER and self._rendezvous.has_listener()
-                self.session.predecessor_lost(is_alive)
+                self.session.predecessor_lost(is_alive, are_frames_lost)
             self._log.event("handover.predecessor_lost", stage=self._stage.value)
 
     async def _receive_until_rejected(self, reader: asyncio.StreamReader, frames: FrameReader) -> Rejection | None:
@@ -231,6 +234,7 @@
         """Handle a connection from a successor, or one that only checks whether a process listens."""
         frames = FrameReader()
         is_successor = False
+        are_frames_lost = False
         try:
             while data := await reader.read(READ_BYTES):
                 frames.feed(data)
@@ -242,11 +246,12 @@
                     if not is_successor:
                         return
         except (OSError, ProtocolError) as error:
+            are_frames_lost = True
             self._log.event("handover.link_broken", why=str(error))
         finally:
             writer.transport.abort()
             if is_successor and not self._is_closing:
-                await self._successor_lost()
+                await self._successor_lost(are_frames_lost)
 
     def _accept(self, frame: Frame, writer: asyncio.StreamWriter) -> bool:
         """Start the hand-over to a peer that sent this frame first; return false if the peer is rejected."""
@@ -282,13 +287,14 @@
             if self._writer is writer:  # the link may have been replaced by the link to a later successor
                 self.session.keys_sent()
 
-    async def _successor_lost(self) -> None:
+    async def _successor_lost(self, are_frames_lost: bool) -> None:
         """Process the end of the link to the successor."""
         self._writer = None
         # A process that has yielded keeps listening; otherwise a successor that has not received YOURS would treat the
         # process as dead. A successor that serves has replaced the socket file with its own.
         is_alive = not self._rendezvous.owns_path() and self._rendezvous.has_listener()
-        self.session.successor_lost(is_alive, self._clock.now() - self._last_iteration_at)
+        loop_stalled_s = self._clock.now() - self._last_iteration_at
+        self.session.successor_lost(is_alive, loop_stalled_s, are_frames_lost)
         self._log.event("handover.successor_lost", stage=self._stage.value)
         if self._stage is Stage.ALONE and not self._rendezvous.owns_path():
             await self._listen()
--- a/chutepin/handover/rendezvous.py
+++ b/chutepin/handover/rendezvous.py
@@ -7,14 +7,14 @@
 import hashlib
 import os
 import socket
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 
+from .connection import ConnectionHandler, start_server
+
 MAX_SOCKET_PATH_BYTES = 100  # Linux accepts 107
 BACKLOG = 4
 
-ConnectionHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
-
 
 def rendezvous_path(directory: str, node: str, address: str) -> str:
     """Return the path of a node's rendezvous socket, derived from a digest of its name and address."""
@@ -72,7 +72,7 @@
         with _socket_address(temporary_path) as address:
             sock.bind(address)
         os.chmod(temporary_path, 0o600)
-        self._server = await asyncio.start_unix_server(handler, sock=sock, backlog=BACKLOG)
+        self._server = await start_server(handler, sock, BACKLOG)
         self._inode = os.stat(temporary_path).st_ino
         os.replace(temporary_path, self.path)
 
--- a/chutepin/handover/session.py
+++ b/chutepin/handover/session.py
@@ -190,10 +190,13 @@
         self.send = None
         self.machine.apply(Event.REJECTED_BUSY if is_busy else Event.REJECTED, self._clock.now())
 
-    def predecessor_lost(self, is_alive: bool) -> None:
-        """Process the end of the link to the predecessor."""
+    def predecessor_lost(self, is_alive: bool, are_frames_lost: bool = False) -> None:
+        """Process the end of the link to the predecessor. `are_frames_lost`: frames were sent that cannot be read."""
+        now = self._clock.now()
         self._end_link()
-        self.machine.predecessor_lost(self._clock.now(), is_alive)
+        self.machine.predecessor_lost(now, is_alive)
+        if are_frames_lost:  # one of them may claim the run of a key that this process knows as reserved
+            self.machine.put_keys_in_doubt(now)
         self._host.peer_lost()
 
     # Predecessor:
@@ -225,13 +228,18 @@
         self._send(LearnedStatistics(self._host.learned_statistics()))
         self._send(TakeoverGranted())
 
-    def successor_lost(self, is_alive: bool, loop_stalled_s: float) -> None:
-        """Process the end of the link to the successor. `loop_stalled_s`: time since the last event loop iteration."""
+    def successor_lost(self, is_alive: bool, loop_stalled_s: float, are_frames_lost: bool = False) -> None:
+        """Process the end of the link to the successor.
+
+        `loop_stalled_s`: time since the last event loop iteration. `are_frames_lost`: as for `predecessor_lost`."""
+        now = self._clock.now()
         has_yielded = self.machine.stage is Stage.YIELDED
         self._end_link()
-        self.machine.successor_lost(self._clock.now(), has_yielded and is_alive, loop_stalled_s)
+        self.machine.successor_lost(now, has_yielded and is_alive, loop_stalled_s)
         if not has_yielded:
             return
+        if are_frames_lost:
+            self.machine.put_keys_in_doubt(now)
         self._host.peer_lost()
         if self.machine.stage is Stage.ALONE:
             self._host.resume_ownership()
--- a/chutepin/handover/state_machine.py
+++ b/chutepin/handover/state_machine.py
@@ -188,10 +188,14 @@
         self.stage = transition.stage
         self.deadline = now + _ENTRY_TIMEOUTS_S.get(self.stage, math.inf)
         if transition.puts_keys_in_doubt:
-            self.in_doubt_since = now
-            self.in_doubt_until = now + self.key_window_s
+            self.put_keys_in_doubt(now)
         return True
 
+    def put_keys_in_doubt(self, now: float) -> None:
+        """Put unknown keys in doubt for one window."""
+        self.in_doubt_since = now
+        self.in_doubt_until = now + self.key_window_s
+
     def adopt_doubt(self, in_doubt_until: float) -> None:
         """Keep unknown keys in doubt until a time that the predecessor has given, whatever their lifetime."""
         self.in_doubt_since = self.in_doubt_until = in_doubt_until
