Broker: checks of a new request and the end of abandoned runs in modules of their own

Change: intake.Intake holds what a request must pass to become an attempt, as typed refusals; supervision.Supervision answers what is overdue and resolves or terminates runs that no caller awaits. No behaviour changes; the test of the maximum of open requests sets it where it now is.

--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from collections.abc import Callable
 
@@ -25,19 +24,18 @@
 from ..logs import Log
 from ..request_metrics import RequestMetrics
 from .actions import DecisionActions
-from .attempts import NOT_STARTED, Attempt, NodeStatus, OpenAttempts, Phase
+from .attempts import Attempt, NodeStatus, OpenAttempts, Phase
 from .decisions import DecisionQueue
 from .drain import DrainPlan
 from .idempotent import IdempotentRequests
+from .intake import KEY_IN_DOUBT, MALFORMED, Intake, Refusal
 from .peer_exchange import PeerExchange
 from .ports import Caller, Environment, Executor, Records, Timer
-from .requests import Answer, Request, Verdict, fingerprint
+from .requests import Answer, Request, fingerprint
 from .schedule import ANSWER_GRACE_S, Schedule
+from .supervision import Supervision
 
-MAX_REQUESTS = 2048  # maximum number of open requests; each holds a body of up to 2 KiB
 KEY_MEMORY_SHARE = 1 / 3  # of the node's own memory, for the table of idempotency keys
-ORPHANED_RUN_TIMEOUT_S = 60.0  # past the due time, after which a run that no caller awaits is terminated
-MAX_CLOCK_LEAD_S = 1.0  # maximum by which a caller's times may exceed the node's clock and the class's deadline
 KEY_REQUEST_TIMEOUT_S = 0.5  # timeout of the peer process's answer to a key request
 SWEEP_INTERVAL_S = 1.0
 
@@ -74,8 +72,6 @@
         self._log = log
         self._executor = executor
         self._records = records
-        self._tenants = {None, *(tenant.name for tenant in settings.tenants)} if settings.tenants else None
-        self._callers_pass_deadline = settings.passes_deadline
         self._gauge_count = len(settings.gauges)
         self._gauges: tuple[float, ...] = ()
         self._next_sweep = 0.0
@@ -97,6 +93,8 @@
         )
         self._facade = Facade(settings, seed, self.actions)
         self._decisions = DecisionQueue(self._facade, reports, self._attempts, clock)
+        self._intake = Intake(settings, self._attempts.by_id, self.keys, self._idempotent, self._schedule)
+        self._supervision = Supervision(self._attempts, self._schedule, self._decisions, executor, counters)
         self.peer_exchange = PeerExchange(
             self.keys, self._idempotent, self._attempts, self._decisions, clock, counters, self._request_admission
         )
@@ -133,32 +131,20 @@
         self.metrics.request_received(request.cls)
         now = self._clock.now()
         cls = self.classes.get(request.cls)
-        if cls is None or not self._is_well_formed(request, cls, now):
-            self._answer_without_attempt(request, caller, Verdict.FAILED, "requests.malformed")
+        if cls is None or not self._intake.is_well_formed(request, cls, now):
+            self._answer_without_attempt(request, caller, MALFORMED)
             return
         is_keyed = cls.idempotency is Idempotency.KEYED
         record = self.keys.find(request.key, request.arrived) if is_keyed else None
-        if record is not None and record.fingerprint != fingerprint(request):
-            # A different request under the same key must not get a result that was computed for another body.
-            self._answer_without_attempt(request, caller, Verdict.FAILED, "requests.malformed")
-            return
-        is_new_key = is_keyed and record is None
-        is_full = len(self._attempts.by_id) >= MAX_REQUESTS or (is_new_key and self.keys.is_full)
-        if not self.started or is_full or (is_keyed and request.key is None):
-            # No run is possible before the executor starts; a full table could not prevent a second run of the
-            # key; a keyed request without a key cannot be recognised as a retry.
-            verdict = Verdict.FAILED if self._idempotent.has_run(request) else Verdict.REJECTED
-            self._answer_without_attempt(request, caller, verdict, "requests.full" if is_full else "requests.not_taken")
-            return
-        if self._schedule.stop_at is not None and now >= self._schedule.stop_at:
-            # A run started now could outlive the process, so the request is rejected, or failed if its key has run.
-            verdict = Verdict.FAILED if self._idempotent.has_run(request) else Verdict.REJECTED
-            self._answer_without_attempt(request, caller, verdict, "requests.past_stop")
+        refusal = self._intake.refusal(request, record, is_keyed, now, self.started)
+        if refusal is not None:
+            self._answer_without_attempt(request, caller, refusal)
             return
         key_lifetime_s = max(cls.window, request.min_key_lifetime_s)
+        is_new_key = is_keyed and record is None
         ownership = self.peer.ownership(now, key_lifetime_s) if is_new_key else KeyOwnership.OWNED
         if ownership is KeyOwnership.IN_DOUBT:
-            self._answer_without_attempt(request, caller, Verdict.FAILED, "keys.in_doubt")
+            self._answer_without_attempt(request, caller, KEY_IN_DOUBT)
             return
         # Impossible arrival times would distort the learned waiting times and the windows of keys.
         request.arrived = max(now - cls.deadline, min(now, request.arrived))
@@ -168,24 +154,10 @@
             return
         self._request_admission(attempt, record)
 
-    def _is_well_formed(self, request: Request, cls: RequestClass, now: float) -> bool:
-        """Return whether the request's tenant, times and id are valid; a late request is valid and answered as late.
-
-        Fill in the due time if the caller did not pass one."""
-        if request.due == math.inf or (not self._callers_pass_deadline and request.due == request.arrived):
-            request.due = request.arrived + cls.deadline
-        if self._tenants and request.tenant not in self._tenants:
-            return False
-        if request.arrived >= now + MAX_CLOCK_LEAD_S:
-            return False
-        if not 0 < request.due - request.arrived < cls.deadline + MAX_CLOCK_LEAD_S:
-            return False
-        return request.id not in self._attempts.by_id
-
-    def _answer_without_attempt(self, request: Request, caller: Caller, verdict: Verdict, counter: str) -> None:
+    def _answer_without_attempt(self, request: Request, caller: Caller, refusal: Refusal) -> None:
         """Count and answer a request that does not become an attempt."""
-        self._counters.add(counter)
-        self._attempts.send_answer(request.cls, caller, Answer(verdict, value=self.status.value))
+        self._counters.add(refusal.counter)
+        self._attempts.send_answer(request.cls, caller, Answer(refusal.verdict, value=self.status.value))
 
     def _request_key(self, attempt: Attempt, now: float, window_s: float) -> None:
         """Request an attempt's key from the peer process."""
@@ -341,10 +313,12 @@
             self._schedule.collect_due_timers(now, self._executor.meter)
             if self._schedule.are_timers_ready(now):
                 self._deliver_timers()
-            self._answer_overdue_attempts(now)
+            self._supervision.answer_overdue_attempts(now)
             if now >= self._next_sweep:
                 self._next_sweep = now + SWEEP_INTERVAL_S
-                self._sweep(now)
+                self._supervision.end_abandoned_runs(now)
+                self._idempotent.remove_expired(now)
+                self._decisions.run()
         finally:
             self._schedule.arm()  # also after an error above, which would otherwise leave the broker without a timer
 
@@ -355,33 +329,3 @@
                     self._clock.now(), token, self._gauges
                 )
             )
-
-    def _answer_overdue_attempts(self, now: float) -> None:
-        """Answer attempts that the decision module has left past their deadline or past the stop of a drain."""
-        expired_ids = self._schedule.pop_expired_ids(now)
-        is_past_stop = self._schedule.is_past_stop(now)
-        if is_past_stop:
-            expired_ids += list(self._attempts.by_id)
-        for id in expired_ids:
-            attempt = self._attempts.by_id.get(id)
-            if attempt is None or (attempt.answer_deadline > now and not is_past_stop):
-                continue
-            if attempt.phase is Phase.REQUESTING_KEY:
-                self._counters.add("keys.not_granted")
-                self._attempts.reject(attempt)
-            elif attempt.awaiting_response:
-                self._counters.add("answers.overdue")
-                self._attempts.fail(attempt)
-                self._decisions.report(CallerDisconnected(id))
-
-    def _sweep(self, now: float) -> None:
-        """Resolve or terminate runs that no caller awaits, and remove records of keys whose window is over."""
-        for id, attempt in self._attempts.by_id.items():
-            if attempt.awaiting_response or attempt.phase in NOT_STARTED:
-                continue
-            if attempt.is_in_doubt or attempt.request.due + ORPHANED_RUN_TIMEOUT_S < now:
-                self._executor.terminate(id)
-            elif attempt.phase in (Phase.RUNNING, Phase.STOPPED):
-                self._executor.resolve(id, attempt.request.executor_detects_end)
-        self._idempotent.remove_expired(now)
-        self._decisions.run()
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from chutepin.broker import core as broker_core
+from chutepin.broker import intake
 from chutepin.facade import End
 from chutepin.idempotency import KEY_GRACE_S
 
@@ -174,7 +174,7 @@
 def test_full_node_fails_rather_than_rejects_a_retry_of_a_key_that_ran(monkeypatch: pytest.MonkeyPatch) -> None:
     core = Core()
     core.pick("a", "work-order", key="k")
-    monkeypatch.setattr(broker_core, "MAX_REQUESTS", 1)
+    monkeypatch.setattr(intake, "MAX_REQUESTS", 1)
     core.pick("b", "work-order", key="k")
     core.pick("c", "work-order", key="other")
     assert core.words("b") == ["failed"] and core.words("c") == ["refused"]
