Executor link: hold no run for an end that was missed; take no notice before WELCOME

Cause: a notice that is sent on a new link before WELCOME was taken with a gap before it, so those that follow WELCOME looked like repeats; the end of a run was lost. Of a run whose EXEC is confirmed nothing else ever tells, so its attempt stayed open, and with no other run in progress the module saw a hang without end.

Change: numbered notices before WELCOME are counted (executor.notices_early) and wait for their place behind it. A gap puts all runs in progress in doubt, so each ends at the latest a second after its request is over.

--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -24,7 +24,7 @@
 from ..logs import Log
 from ..request_metrics import RequestMetrics
 from .actions import DecisionActions
-from .attempts import Attempt, NodeStatus, OpenAttempts, Phase
+from .attempts import NOT_STARTED, Attempt, NodeStatus, OpenAttempts, Phase
 from .decisions import DecisionQueue
 from .drain import DrainPlan
 from .idempotent import IdempotentRequests
@@ -252,6 +252,11 @@
         if (attempt := self._attempts.by_id.get(id)) is not None:
             attempt.is_in_doubt = True
 
+    def notices_missed(self) -> None:
+        """Record that any run in progress may have ended without a notice."""
+        for attempt in self._attempts.by_id.values():
+            attempt.is_in_doubt |= attempt.phase not in NOT_STARTED
+
     def is_response_awaited(self, id: str) -> bool:
         """Return whether the caller of a request still awaits the response."""
         attempt = self._attempts.by_id.get(id)
--- a/chutepin/net/executor/notices.py
+++ b/chutepin/net/executor/notices.py
@@ -19,6 +19,9 @@
     def run_may_have_begun(self, id: str) -> None:
         """Record that a run began or may have begun, so a later `End.NOT_STARTED` does not prove the opposite."""
 
+    def notices_missed(self) -> None:
+        """Record that notices were lost, which may have reported the end of any run in progress."""
+
     def is_response_awaited(self, id: str) -> bool:
         """Return whether the caller of a run's request still awaits the response."""
 
--- a/chutepin/net/executor/session.py
+++ b/chutepin/net/executor/session.py
@@ -20,6 +20,7 @@
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_LINE_BYTES = 16 * 1024  # LOG lines are the longest; a rejected one would arrive again on each new link
+NUMBERED_NOTICES = ("EXIT", "CALLOUT", "LOG")
 _ENDS = {"complete": End.OK, "error": End.ERROR, "cancelled": End.CANCELLED, "unknown": End.NOT_STARTED}
 
 
@@ -168,7 +169,12 @@
         """Process bytes from the executor. Raises ProtocolError."""
         self._parser.feed(data)
         while (message := self._parser.next()) is not None:
-            self._handle_notice(*message)
+            words, body = message
+            if words[0] in NUMBERED_NOTICES and not self._welcomed:
+                # The notices behind WELCOME include this one, and others that must be handled before it.
+                self._counters.add("executor.notices_early")
+            else:
+                self._handle_notice(words, body)
 
     def _handle_notice(self, words: list[str], body: bytes) -> None:
         assert self.notices is not None
@@ -258,7 +264,7 @@
         assert self.notices is not None
         for id in self._unconfirmed_runs.unresolved_ids():
             self._unconfirmed_runs.forget(id)
-            self.notices.run_may_have_begun(id)
+        self.notices.notices_missed()
 
     def _handle_meters(self, meter: int, values: tuple[float, ...]) -> None:
         assert self.notices is not None
--- a/tests/test_runs_in_doubt.py
+++ b/tests/test_runs_in_doubt.py
@@ -293,6 +293,40 @@
     assert world.starts == {"key": 1}
 
 
+def test_run_whose_end_was_missed_ends_after_its_caller_has_left() -> None:
+    """Its EXEC was confirmed; the attempt stayed open, and with no other run in progress the node saw a hang."""
+    world = World()
+    world.submit("first", "key")
+    world.exchange()
+    world.session.meter()
+    world.exchange()
+    world.lose_link()
+    world.run_completes("first")
+    world.notify("LOG", "text", body=None)
+    world.first_kept_notice = len(world.notices) - 1
+    leave(world)
+    world.pass_time(4.0)
+    assert not world.broker.has_open_attempts
+    assert world.broker.peer_exchange.usage[0] == 0
+
+
+def test_notice_before_welcome_is_handled_in_its_order() -> None:
+    """A notice that was sent on a new link before WELCOME hid the ones before it, which then looked like repeats."""
+    world = World()
+    world.submit("first", "key")
+    world.submit("second", "other")
+    world.exchange()
+    world.lose_link()
+    world.run_completes("first")
+    world.connect()
+    world.run_completes("second")
+    world.to_node += world.notices[-1]
+    world.node_reads()
+    world.exchange()
+    assert world.counters.counts["executor.notices_early"] == 1
+    assert world.verdicts("first") == world.verdicts("second") == ["served"]
+
+
 @pytest.mark.parametrize("is_repeated", [False, True], ids=["first EXEC", "repeated EXEC"])
 def test_rejected_exec_releases_the_key_only_if_it_was_the_first(is_repeated: bool) -> None:
     """`BAD` says that this EXEC started nothing. An earlier EXEC of the same run may have been carried out."""
