Review: bodies of 60 MB from a hundred clients take a node over its memory limit

Cause: each connection of net/resp/listener.py may buffer some 0.3 MB that was received and not yet discarded, and nothing limits the sum.

The program is as it was.

--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -466,6 +466,7 @@
         extra: str = "",
         env: dict[str, str] | None = None,
         sockets: int = 1024,
+        memory_mb: int = 192,
     ) -> Node:
         """Start a node process with an operators' address, and wait until it says that it can serve."""
         if not self.records.port:
@@ -483,7 +484,7 @@
             "control": f"{HOST}:{self.control.port}",
             "seed": "8c1f30d27a5be964",
             "stop_ms": stop_ms,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "settings": settings,
         }
         node = Node(self, name, config, str(tmpdir), extra, env or {})
