--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -15,7 +15,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -483,7 +483,7 @@
             "executor": f"{HOST}:{executor.port}",
             "records": f"{HOST}:{self.records.port}",
             "control": f"{HOST}:{self.control.port}",
-            "seed": "8c1f30d27a5be964",
+            "seed": os.urandom(8).hex(),
             "stop_ms": stop_ms,
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "settings": settings,
@@ -544,15 +544,17 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(script: str, case: Callable[[Rig], Awaitable[int]]) -> int:
+def run_case(script: str, case: Callable[[Rig], Coroutine[Any, Any, int]]) -> int:
     """Run a case and return the exit code of its script."""
 
     async def run() -> int:
         rig = Rig(Path(script).resolve().parent)
+        task = asyncio.ensure_future(case(rig))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110):
-                code = await case(rig)
-        except (CannotRunError, OSError, TimeoutError) as error:
+                code = await task
+        except (CannotRunError, OSError, TimeoutError, asyncio.CancelledError) as error:
             rig.record.line(f"the case could not run: {error!r}")
             code = NOT_RUN
         finally:
