Memory: bound what all connections hold together, by shares of limits.memory_mb

Cause: each limit held for one connection and none for their sum. asyncio reads up to 256 KiB at a time whatever the limit of a stream, so one connection held 0.3 MB unread, on every link; an array of eight bulk strings held 32 KiB; what all left unsent was bounded at 24 MiB whatever the memory, and calls to records at 2 MiB for each of them. Ended connections stayed in reference cycles with their buffers until a full collection.

Change: `net.streams` receives into one shared buffer of at most 16 KiB and holds two reads (8 KiB for balancers), on every link; a closing connection discards. `memory_budget` divides what is left of the limit among keys, requests, input, output, executor and records; `net.byte_limit` drops the connection with most. Arrays are bounded as a whole, a request has at most 64 fields, an ended connection releases its buffers. The backlog accepted at the end of a drain stays within the descriptors (it took 58 of a budget of 12).

Tests that replaced `asyncio.open_connection` replace the module's own function, with the same checks.

--- a/chutepin/admission/acceptor.py
+++ b/chutepin/admission/acceptor.py
@@ -188,11 +188,18 @@
         return int(self._sockets[0].getsockname()[1])
 
     def accept_backlog(self) -> None:
-        """Accept all connections in the backlog, which closing the listening sockets would reset, losing their data."""
+        """Accept all connections in the backlog, which closing the listening sockets would reset, losing their data.
+
+        Connections for which no descriptor is left are rejected one by one."""
         for listener in self._sockets if not self._paused else ():
             with contextlib.suppress(OSError):  # the backlog is empty or no descriptor is free
                 for _ in range(BACKLOG):
+                    has_descriptor = self._has_descriptor(self._dropped)
                     sock, address = listener.accept()
+                    if not has_descriptor:
+                        sock.setblocking(False)
+                        self.reject(sock)
+                        continue
                     self._handle_accepted(sock, pack_address(str(address[0])), only_spare_left=False)
 
     def close(self) -> None:
--- a/chutepin/broker/attempts.py
+++ b/chutepin/broker/attempts.py
@@ -29,6 +29,8 @@
 NOT_STARTED = (Phase.QUEUED, Phase.SHARING_RESULT, Phase.REQUESTING_KEY)
 AT_CALL = (Phase.CALL_WANTED, Phase.CALLING_DEPENDENCY)
 
+ATTEMPT_BYTES = 2048  # memory counted for an attempt without its body
+
 # Columns of `ClassCounts`, by verdict.
 METRIC_COLUMNS = {Verdict.SERVED: "answered", Verdict.REJECTED: "deferred", Verdict.FAILED: "errored"}
 
@@ -48,6 +50,11 @@
     call_started_at: float = 0.0
     answer_deadline: float = 0.0  # when the broker itself answers; replaces earlier deadlines
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory counted for the attempt; its body is held a second time in the command to the executor."""
+        return ATTEMPT_BYTES + 2 * len(self.request.body)
+
     @property
     def has_called(self) -> bool:
         """Return whether the run has asked for a call, which proves that it began."""
@@ -72,8 +79,14 @@
         self._metrics = metrics
         self._status = status
         self.by_id: dict[str, Attempt] = {}
+        self.held_bytes = 0  # memory of all attempts
         self.on_keyed_attempt_removed: Callable[[Request], None]  # also if it was not admitted
 
+    def add(self, attempt: Attempt) -> None:
+        """Add the attempt of a request that was accepted."""
+        self.by_id[attempt.request.id] = attempt
+        self.held_bytes += attempt.held_bytes
+
     def answer(self, attempt: Attempt, answer: Answer) -> None:
         """Answer an open attempt; drop the answer if there was one before."""
         if not attempt.awaiting_response:
@@ -125,6 +138,7 @@
         attempt = self.by_id.pop(id, None)
         if attempt is None:
             return
+        self.held_bytes -= attempt.held_bytes
         if attempt.idempotency is Idempotency.KEYED:
             self.on_keyed_attempt_removed(attempt.request)
         if not self._counters.check_invariant(not attempt.awaiting_response, "answered before forgotten"):
--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -35,7 +35,6 @@
 from .schedule import ANSWER_GRACE_S, Schedule
 from .supervision import Supervision
 
-KEY_MEMORY_SHARE = 1 / 3  # of the node's own memory, for the table of idempotency keys
 KEY_REQUEST_TIMEOUT_S = 0.5  # timeout of the peer process's answer to a key request
 SWEEP_INTERVAL_S = 1.0
 
@@ -56,14 +55,17 @@
         executor: Executor,
         records: Records,
         timer: Timer,
-        memory: int,
+        key_memory: int,
+        request_memory: int,
     ) -> None:
-        """Create a broker that waits for its executor. `memory`: bytes that the node itself may use."""
+        """Create a broker that waits for its executor.
+
+        `key_memory`, `request_memory`: bytes that idempotency keys and open requests may use."""
         self.classes: dict[str, RequestClass] = {cls.name: cls for cls in settings.classes}
         self.metrics = RequestMetrics(self.classes)
         self.status = NodeStatus(settings.max_idle_time)
         self.load_signal = settings.signal  # how callers interpret the announced value
-        self.keys = IdempotencyTable(int(memory * KEY_MEMORY_SHARE))
+        self.keys = IdempotencyTable(key_memory)
         self.started = False  # whether the executor has started
         self.on_started: Callable[[], None] = lambda: None  # called when the executor starts for the first time
         self.peer: PeerProcess = NoPeerProcess()
@@ -93,7 +95,7 @@
         )
         self._facade = Facade(settings, seed, self.actions)
         self._decisions = DecisionQueue(self._facade, reports, self._attempts, clock)
-        self._intake = Intake(settings, self._attempts.by_id, self.keys, self._idempotent, self._schedule)
+        self._intake = Intake(settings, self._attempts, request_memory, self.keys, self._idempotent, self._schedule)
         self._supervision = Supervision(self._attempts, self._schedule, self._decisions, executor, counters)
         self.peer_exchange = PeerExchange(
             self.keys, self._idempotent, self._attempts, self._decisions, clock, counters, self._request_admission
@@ -148,7 +150,8 @@
             return
         # Impossible arrival times would distort the learned waiting times and the windows of keys.
         request.arrived = max(now - cls.deadline, min(now, request.arrived))
-        attempt = self._attempts.by_id[request.id] = Attempt(request, caller, cls.idempotency)
+        attempt = Attempt(request, caller, cls.idempotency)
+        self._attempts.add(attempt)
         if ownership is KeyOwnership.ASK_PEER:
             self._request_key(attempt, now, cls.window)
             return
--- a/chutepin/broker/intake.py
+++ b/chutepin/broker/intake.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
 from typing import NamedTuple
 
 from .. import decision
 from ..decision import RequestClass
 from ..idempotency import IdempotencyRecord, IdempotencyTable
-from .attempts import Attempt
+from .attempts import OpenAttempts
 from .idempotent import IdempotentRequests
 from .requests import Request, Verdict, fingerprint
 from .schedule import Schedule
@@ -35,7 +34,8 @@
     def __init__(
         self,
         settings: decision.Settings,
-        attempts: Mapping[str, Attempt],
+        attempts: OpenAttempts,
+        request_memory: int,
         keys: IdempotencyTable,
         idempotent: IdempotentRequests,
         schedule: Schedule,
@@ -43,6 +43,7 @@
         self._tenants = {None, *(tenant.name for tenant in settings.tenants)} if settings.tenants else None
         self._callers_pass_deadline = settings.passes_deadline
         self._attempts = attempts
+        self._request_memory = request_memory
         self._keys = keys
         self._idempotent = idempotent
         self._schedule = schedule
@@ -59,7 +60,7 @@
             return False
         if not 0 < request.due - request.arrived < cls.deadline + MAX_CLOCK_LEAD_S:
             return False
-        return request.id not in self._attempts
+        return request.id not in self._attempts.by_id
 
     def refusal(
         self, request: Request, record: IdempotencyRecord | None, is_keyed: bool, now: float, is_started: bool
@@ -71,7 +72,7 @@
             # A different request under the same key must not get a result that was computed for another body.
             return MALFORMED
         is_new_key = is_keyed and record is None
-        if len(self._attempts) >= MAX_REQUESTS or (is_new_key and self._keys.is_full):
+        if self._is_full or (is_new_key and self._keys.is_full):
             # A full table could not prevent a second run of the key.
             return self._not_run(request, "requests.full")
         if not is_started or (is_keyed and request.key is None):
@@ -82,6 +83,10 @@
             return self._not_run(request, "requests.past_stop")
         return None
 
+    @property
+    def _is_full(self) -> bool:
+        return len(self._attempts.by_id) >= MAX_REQUESTS or self._attempts.held_bytes >= self._request_memory
+
     def _not_run(self, request: Request, counter: str) -> Refusal:
         """Return a rejection, or a failure if the request's key has run."""
         return Refusal(Verdict.FAILED if self._idempotent.has_run(request) else Verdict.REJECTED, counter)
--- a/chutepin/handover/connection.py
+++ b/chutepin/handover/connection.py
@@ -9,19 +9,18 @@
 import contextlib
 import os
 import socket
-from collections.abc import Awaitable, Callable
 
-READ_BYTES = 65536
+from ..net.streams import LINK_READ_BYTES, BoundedStreamProtocol, ConnectionHandler, new_reader
 
-ConnectionHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+READ_BYTES = 65536
 
 
-class LosslessStreamProtocol(asyncio.StreamReaderProtocol):
+class LosslessStreamProtocol(BoundedStreamProtocol):
     """A stream protocol that passes on all bytes that the kernel holds before the end of the stream, without errors."""
 
     def __init__(self, reader: asyncio.StreamReader, handler: ConnectionHandler | None = None) -> None:
         """Create a protocol. `handler`: called for an accepted connection."""
-        super().__init__(reader, handler)
+        super().__init__(reader, LINK_READ_BYTES, handler)
         self._reader = reader
         self._transport_socket: socket.socket | None = None
         self._is_at_end = False
@@ -58,7 +57,7 @@
 async def open_stream(sock: socket.socket) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Return the stream of a connected Unix socket. Raises OSError."""
     loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader(loop=loop)
+    reader = new_reader(LINK_READ_BYTES)
     protocol = LosslessStreamProtocol(reader)
     transport, _ = await loop.create_connection(lambda: protocol, sock=sock)
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
@@ -69,6 +68,6 @@
     loop = asyncio.get_running_loop()
 
     def protocol() -> LosslessStreamProtocol:
-        return LosslessStreamProtocol(asyncio.StreamReader(loop=loop), handler)
+        return LosslessStreamProtocol(new_reader(LINK_READ_BYTES), handler)
 
     return await loop.create_unix_server(protocol, sock=sock, backlog=backlog)
--- a/chutepin/handover/rendezvous.py
+++ b/chutepin/handover/rendezvous.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from .connection import ConnectionHandler, start_server
+from ..net.streams import ConnectionHandler
+from .connection import start_server
 
 MAX_SOCKET_PATH_BYTES = 100  # Linux accepts 107
 BACKLOG = 4
--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -28,6 +28,7 @@
 from ...decision import Idempotency, LoadSignal
 from ...logs import Log
 from ..lines import ProtocolError
+from ..streams import LINK_READ_BYTES, open_connection
 from .reconnect import ReconnectDelay
 from .requests import request_from
 from .session import Content, Session, State, consumer_tag
@@ -36,7 +37,6 @@
 MIN_QUEUE_PAUSE_S = 0.25  # shortest pause of a queue after a rejected delivery
 CHECK_INTERVAL_S = 0.25  # between checks of heartbeats, pauses and the window
 OPEN_TIMEOUT_S = 10.0  # from the connection to the open session
-READ_BYTES = 65536
 
 
 def consumption_window(signal: LoadSignal, value: float | None, prefetch: int) -> int:
@@ -233,7 +233,7 @@
         delay, address = ReconnectDelay(self._random), self.config.address
         while True:
             try:
-                reader, writer = await asyncio.open_connection(address.host, address.port)
+                reader, writer = await open_connection(address.host, address.port)
             except OSError:
                 self.counters.add("amqp.refused")
             else:
@@ -289,7 +289,7 @@
             data = b""
             try:
                 async with asyncio.timeout_at(loop.time() + CHECK_INTERVAL_S):
-                    data = await reader.read(READ_BYTES)
+                    data = await reader.read(LINK_READ_BYTES)
                 if not data:
                     raise ConnectionError("AMQP broker closed the connection")
                 last_received_at = loop.time()
--- a/chutepin/net/control.py
+++ b/chutepin/net/control.py
@@ -12,6 +12,7 @@
 
 from ..config import Address
 from ..counters import Counters
+from .streams import open_connection
 
 REPORT_INTERVAL_S = 1.0  # at most; the control plane drops a node 3 s after its last report
 JITTER_SHARE = 0.2  # of the interval; spreads the reports of nodes that lost the control plane together
@@ -59,7 +60,7 @@
     async def _report(self, address: Address) -> int:
         if self._streams is None:
             self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_BYTES)
-            self._streams = await asyncio.open_connection(address.host, address.port)
+            self._streams = await open_connection(address.host, address.port, READ_BYTES)
         reader, writer = self._streams
         body = json.dumps({"condition": "Ready" if self._ready() else "NotReady"}).encode()
         request = h11.Request(
--- a/chutepin/net/executor/link.py
+++ b/chutepin/net/executor/link.py
@@ -7,21 +7,30 @@
 from ...config import Address
 from ...counters import Counters
 from ...logs import Log
+from ...memory_budget import DEFAULT_BUDGET
 from ..lines import ProtocolError, line
+from ..streams import LINK_READ_BYTES, open_connection
 from .session import Session
 
-MAX_UNSENT_BYTES = 8 * 2**20  # over which the link is closed, as the executor does not read
 MIN_RECONNECT_DELAY_S = 0.02  # doubled after each attempt
 MAX_RECONNECT_DELAY_S = 0.5
 CONNECT_TIMEOUT_S = 2.0  # an unresponsive host would keep the attempt pending for minutes
 MOVE_TIMEOUT_S = 0.3  # after which a link to an old address is closed, even with unconfirmed commands
-READ_BYTES = 65536
 
 
 class ExecutorLink:
     """Keeps one connection to the executor open while the node runs, and writes commands to it."""
 
-    def __init__(self, address: Address, session: Session, counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        address: Address,
+        session: Session,
+        counters: Counters,
+        log: Log,
+        max_unsent_bytes: int = DEFAULT_BUDGET.executor,
+    ) -> None:
+        """Create a link. `max_unsent_bytes`: over which it is closed, as the executor does not read."""
+        self._max_unsent_bytes = max_unsent_bytes
         self._address, self._session, self._counters, self._log = address, session, counters, log
         self._transport: asyncio.WriteTransport | None = None
         self._moving = False
@@ -81,7 +90,7 @@
             address = self._address
             try:
                 async with asyncio.timeout_at(loop.time() + CONNECT_TIMEOUT_S):
-                    reader, writer = await asyncio.open_connection(address.host, address.port)
+                    reader, writer = await open_connection(address.host, address.port)
             except OSError:
                 self._counters.add("executor.refused")
             else:
@@ -107,13 +116,13 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         def send(data: bytes) -> None:
             writer.write(data)
-            if writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            if writer.transport.get_write_buffer_size() > self._max_unsent_bytes:
                 self._counters.add("executor.stuck")
                 writer.transport.abort()
 
         self._session.connected(send)
         try:
-            while data := await reader.read(READ_BYTES):
+            while data := await reader.read(LINK_READ_BYTES):
                 self._session.received(data)
         except OSError as error:
             self._log.event("executor.broken", why=str(error))
--- a/chutepin/net/lines.py
+++ b/chutepin/net/lines.py
@@ -25,6 +25,11 @@
         self._words: list[str] | None = None  # words of a line whose body is not yet complete
         self._length = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are held for messages that have not been returned."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> None:
         """Add received bytes to the buffer."""
         self._buffer += data
--- a/chutepin/net/records.py
+++ b/chutepin/net/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -12,16 +13,20 @@
 from ..counters import Counters
 from ..facade import End
 from ..logs import Log
+from ..memory_budget import DEFAULT_BUDGET
+from .byte_limit import ByteLimit
 from .lines import LineParser, ProtocolError, line
+from .streams import open_connection
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_CALLS_PER_CONNECTION = 256  # after which the connection is closed; bounds its finished ids
 RECENT_REPLY_S = 0.1  # after a reply, in which the service cannot have closed the connection as idle
-MAX_UNSENT_BYTES = 2 * 2**20
+MAX_HELD_BYTES = 2 * 2**20  # of one connection: its partly received reply and its unsent calls
+MIN_COUNTED_HELD_BYTES = 4096
 IDLE_TIMEOUT_S = 8.0  # the service closes after 10 s; the outcome of a call sent during the close is unknown
 CONNECT_TIMEOUT_S = 2.0  # calls of a connection that was not established have not run
 DEADLINE_GRACE_S = 0.03  # after a call's deadline, to receive the service's PAST reply
-READ_BYTES = 65536
+READ_BYTES = 4096
 _ENDS = {"DONE": End.OK, "WAIT": End.REFUSED, "ERROR": End.ERROR, "PAST": End.TIMED_OUT, "EMPTY": End.UNREACHABLE}
 
 
@@ -39,9 +44,17 @@
     calls: dict[str, Call] = field(default_factory=dict)
     finished_ids: set[str] = field(default_factory=set)
     writer: asyncio.StreamWriter | None = None
+    parser: LineParser = field(default_factory=lambda: LineParser(_has_body, MAX_BODY_BYTES))
+    number: int = 0
     last_used_at: float = 0.0
     retired: bool = False  # carries no further calls and closes after its last one
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are held for a partly received reply and for calls that the service has not read."""
+        unsent = self.writer.transport.get_write_buffer_size() if self.writer is not None else 0
+        return self.parser.held_bytes + unsent
+
     def can_carry(self, call: Call, now: float) -> bool:
         """Return whether this connection may carry a call.
 
@@ -89,12 +102,17 @@
         log: Log,
         max_connections: int,
         descriptors: DescriptorBudget | None = None,
+        max_held_bytes: int = DEFAULT_BUDGET.records,
     ) -> None:
+        """Create the service. `max_held_bytes`: of all connections, over which the one that holds most is closed."""
         self._address, self._clock, self._counters, self._log = address, clock, counters, log
         self._max_connections = max_connections
         self._descriptors = descriptors or _default_budget(max_connections)
         self.listener: CallHandler | None = None
         self._connections: list[Connection] = []  # least recently used first
+        self._numbers = itertools.count(1)
+        self._by_number: dict[int, Connection] = {}
+        self._held = ByteLimit(MAX_HELD_BYTES, max_held_bytes, MIN_COUNTED_HELD_BYTES, self._held_bytes)
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -169,8 +187,9 @@
         if not self._descriptors.acquire(DESCRIPTOR_PART):  # the call shares a connection or ends as unreachable
             self._counters.add("records.no_descriptor")
             return min(usable, key=lambda connection: len(connection.calls), default=None)
-        connection = Connection(last_used_at=now)
+        connection = Connection(last_used_at=now, number=next(self._numbers))
         self._connections.append(connection)
+        self._by_number[connection.number] = connection
         task = asyncio.get_running_loop().create_task(self._serve(connection, self._address))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -181,27 +200,40 @@
         wait = max(1, round((call.deadline - self._clock.now()) * 1000))
         call.written, call.connection_proven = True, not connection.finished_ids
         connection.writer.write(line("OP", call.id, wait, body=call.body))
-        if connection.writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            self._counters.add("records.stuck")
-            connection.retired = True
-            connection.writer.transport.abort()
+        self._limit_held(connection)
+
+    def _held_bytes(self, number: int) -> int:
+        connection = self._by_number.get(number)
+        return connection.held_bytes if connection is not None else 0
+
+    def _limit_held(self, connection: Connection) -> None:
+        """Close a connection that holds too much, or the one that holds most if all together do."""
+        excess = self._held.record(connection.number, connection.held_bytes)
+        if excess is None:
+            return
+        self._counters.add("records.stuck")
+        self._held.forget(excess)
+        dropped = self._by_number[excess]
+        dropped.retired = True
+        if dropped.writer is not None:
+            dropped.writer.transport.abort()
 
     async def _serve(self, connection: Connection, address: Address) -> None:
         connected = False  # calls have not run before the connection is established
         try:
             async with asyncio.timeout_at(asyncio.get_running_loop().time() + CONNECT_TIMEOUT_S):
-                reader, connection.writer = await asyncio.open_connection(address.host, address.port)
+                reader, connection.writer = await open_connection(address.host, address.port, READ_BYTES)
             connected = True
             self._counters.add("records.connections")
             for call in connection.calls.values():
                 self._write(connection, call)
-            parser = LineParser(_has_body, MAX_BODY_BYTES)
             while data := await reader.read(READ_BYTES):
                 for call in connection.calls.values():
                     call.connection_proven = True
-                parser.feed(data)
-                while (message := parser.next()) is not None:
+                connection.parser.feed(data)
+                while (message := connection.parser.next()) is not None:
                     self._reply(connection, *message)
+                self._limit_held(connection)
         except OSError:
             self._counters.add("records.lost" if connected else "records.refused")
         except ProtocolError as error:
@@ -209,6 +241,8 @@
             self._log.event("records.malformed", why=str(error))
         finally:
             self._connections.remove(connection)
+            del self._by_number[connection.number]
+            self._held.forget(connection.number)
             self._descriptors.release(DESCRIPTOR_PART)
             if connection.writer is not None:
                 connection.writer.transport.abort()
--- a/chutepin/net/resp/connection.py
+++ b/chutepin/net/resp/connection.py
@@ -16,6 +16,7 @@
 from .messages import BYE, format_answer
 from .parser import RespParser
 
+MAX_MESSAGES_PER_TURN = 4  # processed before other connections get their turn
 MESSAGE_TIMEOUT_S = 5.0  # to complete a partly received message; the first message has its own limit
 
 
@@ -60,11 +61,20 @@
     time_shift_s: float = 0.0  # added to the timestamps of the requests, for a replay
     key: int = 0  # of this connection in the listener's tables; 0 for a replay, which has no socket
     proxy: ProxyHeaderParser | None = None  # parser of the PROXY header, until a relay has sent it
+    has_unhandled_messages: bool = False  # received messages wait for this connection's next turn
+    has_ended_input: bool = False  # the balancer has ended its side of the connection, and was sent BYE for it
+    caller: int | None = None  # the number of the balancer in its first request, which all its requests count for
 
     def received(self, data: bytes) -> None:
-        """Process received bytes.
+        """Process received bytes and all messages in them.
 
         Malformed input stops all further reading from the connection and fails its open requests at once."""
+        self.feed(data)
+        while self.has_unhandled_messages:
+            self.handle_messages(MAX_MESSAGES_PER_TURN)
+
+    def feed(self, data: bytes) -> None:
+        """Take received bytes; `handle_messages` processes the messages in them."""
         self.listener.record(self, False, data)
         if self.proxy is not None:
             try:
@@ -79,16 +89,25 @@
                 self.abort()
                 return
         self.parser.feed(data)
-        complete = False
+        self.has_unhandled_messages = True
+
+    def handle_messages(self, limit: int) -> None:
+        """Process up to `limit` of the received messages; `has_unhandled_messages` tells whether more may be left."""
+        count = 0
+        self.has_unhandled_messages = False
         try:
             while not self.closing and (items := self.parser.next()) is not None:
-                complete = True
+                count += 1
                 self.listener.handle_message(self, items)
+                if count >= limit:
+                    self.has_unhandled_messages = not self.closing and self.parser.partial
+                    break
         except ProtocolError as error:
             self._reject_malformed(str(error))
-        if complete or self.message_deadline == math.inf:
+        if count or self.message_deadline == math.inf:
             # Keeps a peer that sends a message byte by byte from holding its place in the connection table.
-            self.message_deadline = self.listener.clock.now() + MESSAGE_TIMEOUT_S if self.parser.partial else math.inf
+            awaits_rest = self.parser.partial and not self.has_unhandled_messages
+            self.message_deadline = self.listener.clock.now() + MESSAGE_TIMEOUT_S if awaits_rest else math.inf
         self.listener.update_deadline(self)
 
     def _reject_malformed(self, reason: str) -> None:
@@ -98,13 +117,21 @@
         self.abort()
 
     def abort(self) -> None:
-        """Fail every open request, send BYE and read no more requests."""
+        """Fail every open request, send BYE, read no more requests and release what was received of the next one."""
         self.closing = True
+        self.has_unhandled_messages = False
+        self.parser = RespParser()
         for tag, id in list(self.open_requests.items()):
             self.listener.broker.caller_disconnected(id)
             self.answer(tag, Answer(Verdict.FAILED, value=self.listener.broker.value))
         self.send_bye(self.listener.clock.now())
 
+    def release(self) -> None:
+        """Release the buffers and the transport of a connection that has ended, whoever still refers to it."""
+        self.parser = RespParser()
+        self.has_unhandled_messages = False
+        self.write = _write_nothing
+
     def answer(self, tag: bytes, answer: Answer) -> None:
         """Write the answer of the open request with this tag; do nothing if the request was cancelled."""
         if self.open_requests.pop(tag, None) is not None:
@@ -122,6 +149,10 @@
             self.listener.update_deadline(self)
 
 
+def _write_nothing(data: bytes) -> None:
+    """Stand for `Connection.write` after the end of the connection."""
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """The destination of one request's answer: a tag on a connection."""
--- a/chutepin/net/resp/listener.py
+++ b/chutepin/net/resp/listener.py
@@ -28,20 +28,30 @@
 from ...counters import Counters
 from ...lifecycle import Lifecycle
 from ...logs import Log
+from ...memory_budget import DEFAULT_BUDGET, MemoryBudget
+from ..byte_limit import ByteLimit
 from ..lines import ProtocolError
+from ..streams import BoundedStreamProtocol
 from .connection import Connection, Reply
 from .messages import BYE, CALL, CANCEL, HEALTH, format_health, parse_call
 from .sockets import FLUSH_TIMEOUT_S, READ_BYTES, CountingReader, SocketLink
 from .timeouts import DRAIN_READ_S, Expired, expired, next_deadline
-from .unsent import UnsentLimit
 
 MAX_OPEN_REQUESTS = 64  # on one connection; balancers limit themselves to 32
-READER_LIMIT_BYTES = 65536
+MAX_UNSENT_BYTES = 192 * 1024  # for one connection: 32 answers of the maximum size fit
+MIN_COUNTED_UNSENT_BYTES = 16384
+MAX_RECEIVED_BYTES = 2**16  # for one connection; its reader and parser hold less
+MIN_COUNTED_RECEIVED_BYTES = 1024
 SWEEP_INTERVAL_S = 0.25  # between checks for idle connections
 FIRST_MESSAGE_TIMEOUT_S = 2.0  # for a new connection to send its first complete message
 DESCRIPTOR_PART = "front"  # the listener's name in the descriptor budget
 
 
+def max_balancer_connections(sockets: int) -> int:
+    """Return how many connections of balancers a process may hold that may open this many descriptors."""
+    return max(8, sockets // 2)
+
+
 class Recorder(Protocol):
     """Records the bytes of connections; a connection is identified by a number."""
 
@@ -68,10 +78,11 @@
         rules: Rules | None = None,
         descriptors: DescriptorBudget | None = None,
         lifecycle: Lifecycle | None = None,
+        memory: MemoryBudget = DEFAULT_BUDGET,
     ) -> None:
         self._lifecycle = lifecycle or Lifecycle()
         self.broker, self.clock, self.counters, self.log = broker, clock, counters, log
-        self.max_connections = max(8, sockets // 2)
+        self.max_connections = max_balancer_connections(sockets)
         self.table = ConnectionTable(rules or Rules(), self.max_connections)
         self.descriptors = descriptors or DescriptorBudget(2 * sockets, {DESCRIPTOR_PART: (0, sockets)})
         self.connections: dict[int, Connection] = {}
@@ -82,7 +93,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._deadlines = Deadlines()
         self._swept_idle_timeout_s = math.inf  # idle timeout of the decision module at the last sweep
-        self._unsent = UnsentLimit(self._unsent_bytes)
+        self._unsent = ByteLimit(MAX_UNSENT_BYTES, memory.unsent, MIN_COUNTED_UNSENT_BYTES, self._unsent_bytes)
+        self._received = ByteLimit(
+            MAX_RECEIVED_BYTES, memory.received, MIN_COUNTED_RECEIVED_BYTES, self._received_bytes
+        )
         self.recorder: Recorder | None = None
         self._finished_replays: list[Connection] = []  # replayed connections whose input has ended
 
@@ -224,11 +238,12 @@
         Unread input does not protect a connection without a valid message, which could otherwise keep its place by
         sending a byte at a time."""
         link = self._links.get(key)
-        if link is not None and self.connections[key].has_valid_message and link.has_unread_input():
+        connection = self.connections[key]
+        if link is not None and connection.has_valid_message and self._has_unread_input(connection, link):
             return False
         self.counters.add("balancers.made_room")
         self.table.closed(key)
-        connection = self.connections.pop(key)
+        del self.connections[key]
         self._links.pop(key, None)
         self._deadlines.cancel(key)
         connection.send_bye(now)
@@ -256,8 +271,8 @@
         self.connections[key] = connection
         self.update_deadline(connection)
         loop = asyncio.get_running_loop()
-        reader = CountingReader(limit=READER_LIMIT_BYTES, loop=loop)
-        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        reader = CountingReader()
+        protocol = BoundedStreamProtocol(reader, READ_BYTES)
         task = loop.create_task(self._serve_connection(connection, sock, reader, protocol))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -267,14 +282,14 @@
         connection: Connection,
         sock: socket.socket,
         reader: CountingReader,
-        protocol: asyncio.StreamReaderProtocol,
+        protocol: BoundedStreamProtocol,
     ) -> None:
         """Run one connection from its accepted socket to the release of its resources."""
         transport: asyncio.Transport | None = None
         try:
             transport, _ = await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, sock)
             writer = asyncio.StreamWriter(transport, protocol, reader, asyncio.get_running_loop())
-            await self._run_connection(connection, SocketLink(sock, transport, reader), writer)
+            await self._run_connection(connection, SocketLink(sock, transport, reader, protocol), writer)
         except OSError:
             self.counters.add("balancers.reset")
         finally:
@@ -314,9 +329,11 @@
         finally:
             self._links.pop(key, None)
             self._unsent.forget(key)
+            self._received.forget(key)
             for request in connection.open_requests.values():
                 self.broker.caller_disconnected(request)
             connection.open_requests.clear()
+            connection.release()
             if self.recorder is not None:
                 self.recorder.closed(id(connection))
             writer.close()
@@ -326,6 +343,7 @@
         while data := await link.reader.read(READ_BYTES):
             if not connection.closing:
                 connection.received(data)
+                self._limit_received(connection)
                 if connection.closing:  # the input was malformed
                     self._finish_writing(connection, link)
             if len(data) == READ_BYTES:  # more may be buffered: `read` would not yield to the event loop
@@ -359,6 +377,7 @@
 
         Closing a socket with unread input resets the connection and loses the last answers."""
         connection.closing, connection.close_at = True, self.clock.now() + DRAIN_READ_S
+        link.protocol.discard_input()
         if not link.transport.is_closing():
             link.transport.write_eof()
         self.update_deadline(connection)
@@ -376,9 +395,28 @@
             return
         transport.write(data)
         self.record(connection, True, data)
-        if self._unsent.is_exceeded(connection.key, transport.get_write_buffer_size()):
+        stuck = self._unsent.record(connection.key, transport.get_write_buffer_size())
+        if stuck is not None:
             self.counters.add("balancers.stuck")
-            transport.abort()
+            self._unsent.forget(stuck)
+            dropped = transport if stuck == connection.key else self._links[stuck].transport
+            dropped.abort()
+
+    def _limit_received(self, connection: Connection) -> None:
+        """Close the connection that holds most input if all connections together hold too much."""
+        excess = self._received.record(connection.key, self._received_bytes(connection.key))
+        if excess is not None:
+            self.counters.add("balancers.input_limit")
+            self._received.forget(excess)
+            self.connections[excess].abort()
+            self._finish_writing(self.connections[excess], self._links[excess])
+
+    def _received_bytes(self, key: int) -> int:
+        """Return the bytes that were received on a connection and not processed yet."""
+        connection, link = self.connections.get(key), self._links.get(key)
+        if connection is None or link is None:
+            return 0
+        return connection.parser.held_bytes + link.reader.unread_bytes
 
     def _unsent_bytes(self, key: int) -> int:
         link = self._links.get(key)
@@ -413,7 +451,7 @@
                 self.counters.add("balancers.slow")
                 connection.abort()
                 self._finish_writing(connection, link)
-            case Expired.BYE if link is not None and not link.has_unread_input():
+            case Expired.BYE if link is not None and not self._has_unread_input(connection, link):
                 connection.closing = True
                 link.close()
             case Expired.IDLE:
@@ -423,6 +461,10 @@
                 return False
         return True
 
+    @staticmethod
+    def _has_unread_input(connection: Connection, link: SocketLink) -> bool:
+        return connection.has_unhandled_messages or link.has_unread_input()
+
     @staticmethod
     def _is_message_overdue(connection: Connection, link: SocketLink, now: float) -> bool:
         """Return whether the message is overdue and its rest is not waiting unread.
--- a/chutepin/net/resp/messages.py
+++ b/chutepin/net/resp/messages.py
@@ -13,6 +13,7 @@
 
 MAX_BODY_BYTES = 2048
 MAX_KEY_CHARACTERS = 64
+MAX_FIELDS = 64  # of a request; balancers send up to ten
 MAX_REQUEST_SIZE_KB = 2000
 ID_CHARACTERS = 16  # hexadecimal digits
 MAX_NUMBER_CHARACTERS = 24
@@ -41,7 +42,10 @@
         cls, encoded_fields = items[2].decode(), items[3].decode()  # class names in the settings may use any script
     except UnicodeDecodeError:
         raise ProtocolError("class or fields of RPC.CALL are not UTF-8") from None
-    fields = dict(part.partition("=")[::2] for part in encoded_fields.split(","))
+    encoded_pairs = encoded_fields.split(",", MAX_FIELDS)
+    if len(encoded_pairs) > MAX_FIELDS:
+        raise ProtocolError("RPC.CALL has too many fields")
+    fields = dict(pair.partition("=")[::2] for pair in encoded_pairs)
     id = fields.get("i", "")
     if len(id) != ID_CHARACTERS or not set(id) <= set("0123456789abcdef"):
         raise ProtocolError("RPC.CALL has no valid request id")
--- a/chutepin/net/resp/parser.py
+++ b/chutepin/net/resp/parser.py
@@ -6,6 +6,7 @@
 
 MAX_ITEMS = 8  # bulk strings in an array
 MAX_BULK_BYTES = 4096
+MAX_ARRAY_BYTES = 6144  # all bulk strings of an array together
 MAX_HEADER_BYTES = 10  # type byte, digits of the length, CR LF
 
 
@@ -19,6 +20,7 @@
         self._items: list[bytes] = []
         self._remaining = 0  # items of the current array that are not yet received
         self._length = -1  # of the current item; -1 until its header is parsed
+        self._array_bytes = 0  # of the items of the current array, and the declared length of the next
 
     def feed(self, data: bytes) -> None:
         """Add received bytes to the buffer."""
@@ -29,6 +31,11 @@
         """Whether an array is partly received."""
         return bool(self._buffer or self._remaining)
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are held for arrays that have not been returned."""
+        return len(self._buffer) + self._array_bytes - max(0, self._length)
+
     def next(self) -> list[bytes] | None:
         """Return the next complete array, or None until more bytes are fed. Raises ProtocolError."""
         while True:
@@ -39,23 +46,33 @@
                 if count == 0:
                     raise ProtocolError("array without items")
                 self._remaining, self._items = count, []
-            if self._length < 0:
-                length = self._read_header(b"$", MAX_BULK_BYTES)
-                if length is None:
-                    return None
-                self._length = length
-            if len(self._buffer) < self._length + 2:
+            item = self._read_item()
+            if item is None:
                 return None
-            item = bytes(self._buffer[: self._length + 2])
-            del self._buffer[: self._length + 2]
-            if not item.endswith(b"\r\n"):
-                raise ProtocolError("bulk string is not terminated by CR LF at its declared length")
-            self._items.append(item[:-2])
-            self._length = -1
+            self._items.append(item)
             self._remaining -= 1
             if not self._remaining:
+                self._array_bytes = 0
                 return self._items
 
+    def _read_item(self) -> bytes | None:
+        if self._length < 0:
+            length = self._read_header(b"$", MAX_BULK_BYTES)
+            if length is None:
+                return None
+            self._length = length
+            self._array_bytes += length
+            if self._array_bytes > MAX_ARRAY_BYTES:
+                raise ProtocolError("array is too long")
+        if len(self._buffer) < self._length + 2:
+            return None
+        item = bytes(self._buffer[: self._length + 2])
+        del self._buffer[: self._length + 2]
+        if not item.endswith(b"\r\n"):
+            raise ProtocolError("bulk string is not terminated by CR LF at its declared length")
+        self._length = -1
+        return item[:-2]
+
     def _read_header(self, type_byte: bytes, maximum: int) -> int | None:
         if self._buffer and self._buffer[:1] != type_byte:
             raise ProtocolError("expected an array of bulk strings")
--- a/chutepin/net/resp/sockets.py
+++ b/chutepin/net/resp/sockets.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..streams import BoundedStreamProtocol, PeerState, peer_state, stream_limit
+
 FLUSH_TIMEOUT_S = 5.0  # for a balancer to read the last answers before its connection is closed
 READ_BYTES = 4096  # read from one connection before the event loop serves others
 
@@ -17,6 +19,9 @@
 
     unread_bytes = 0
 
+    def __init__(self) -> None:
+        super().__init__(limit=stream_limit(READ_BYTES), loop=asyncio.get_running_loop())
+
     def feed_data(self, data: Any) -> None:
         """Add bytes from the transport."""
         self.unread_bytes += len(data)
@@ -36,6 +41,7 @@
     sock: socket.socket
     transport: asyncio.WriteTransport
     reader: CountingReader
+    protocol: BoundedStreamProtocol
 
     def has_unread_input(self) -> bool:
         """Return whether received bytes are waiting to be read, after fetching what the kernel has buffered.
@@ -48,6 +54,11 @@
                     self.reader.feed_data(data)
         return self.reader.unread_bytes > 0
 
+    @property
+    def peer_state(self) -> PeerState:
+        """The state of the balancer's side; RESET also if this side is closed."""
+        return PeerState.RESET if self.transport.is_closing() else peer_state(self.sock)
+
     def close(self) -> None:
         """Close once all written bytes are sent, or after FLUSH_TIMEOUT_S at the latest.
 
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -25,11 +25,12 @@
 from .lifecycle import Lifecycle, Transition
 from .logs import Log, LogFormat
 from .loop_timer import LoopTimer
+from .memory_budget import divide_memory
 from .net.control import Reporter
 from .net.executor import ExecutorLink, Session
 from .net.records import RecordsService
 from .net.resp import RespListener
-from .net.resp.listener import SWEEP_INTERVAL_S
+from .net.resp.listener import SWEEP_INTERVAL_S, max_balancer_connections
 from .registry import build_subsystems
 
 if TYPE_CHECKING:
@@ -102,8 +103,10 @@
             self.setup.cluster is not None,
             self.setup.consensus is not None,
         )
+        max_connections = max_balancer_connections(self.sockets) + self._max_records_connections
+        self.memory = divide_memory(config.memory, max_connections)
         self._session = self._build_session()
-        self.executor = ExecutorLink(config.executor, self._session, self.counters, self.log)
+        self.executor = ExecutorLink(config.executor, self._session, self.counters, self.log, self.memory.executor)
         self.records = self._build_records()
         self.broker = self._build_broker()
         self.front = self._build_front()
@@ -129,11 +132,20 @@
 
     def _build_records(self) -> RecordsService:
         """Build the connections to the records service."""
-        max_connections = max(4, self.sockets // 5)
         return RecordsService(
-            self.config.records, self.clock, self.counters, self.log, max_connections, self.descriptors
+            self.config.records,
+            self.clock,
+            self.counters,
+            self.log,
+            self._max_records_connections,
+            self.descriptors,
+            self.memory.records,
         )
 
+    @property
+    def _max_records_connections(self) -> int:
+        return max(4, self.sockets // 5)
+
     def _build_broker(self) -> Broker:
         """Build the broker and register it as the listener of the executor, the records service and the timer."""
         timer = LoopTimer(self.clock)
@@ -146,7 +158,8 @@
             self.executor,
             self.records,
             timer,
-            self.config.memory,
+            self.memory.keys,
+            self.memory.requests,
         )
         broker.on_started = self._on_executor_started
         timer.broker = broker
@@ -165,6 +178,7 @@
             build_rules(self.setup.admission),
             self.descriptors,
             self.lifecycle,
+            self.memory,
         )
 
     # The following parts are optional; a module that only one part needs is imported in its build method.
--- a/chutepin/testbench/standins/platform.py
+++ b/chutepin/testbench/standins/platform.py
@@ -60,7 +60,7 @@
         self._servers: list[asyncio.Server] = []
         self._pending_calls: dict[str, tuple[str, bytes]] = {}
         self.env = json.loads(json.dumps(env))
-        self.stop_ms, self.sockets = 1500, 1024
+        self.stop_ms, self.sockets, self.memory_mb = 1500, 1024, 192
         self.descriptors = 0  # limit for the program; 0: inherited
         self.environ: dict[str, str] = {}
         self.program = ROOT  # working directory, from which the program is imported
@@ -148,7 +148,7 @@
                     "control": f"127.0.0.1:{ports[2]}",
                     "seed": "8c1f30d27a5be964",
                     "stop_ms": self.stop_ms,
-                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+                    "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
                     **({"ops": f"127.0.0.1:{self.ops_port}"} if self.ops_port else {}),
                     "settings": self.env,
                 }
--- a/tests/executor_world.py
+++ b/tests/executor_world.py
@@ -94,7 +94,8 @@
             link,
             self.ports,
             self.ports,
-            MEMORY_BYTES,
+            key_memory=MEMORY_BYTES // 3,
+            request_memory=MEMORY_BYTES,
         )
         self.session.notices = self.broker
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -115,7 +115,8 @@
             ports,
             ports,
             ports,
-            memory,
+            key_memory=memory // 3,
+            request_memory=memory,
         )
         if up:
             self.broker.executor_started(False, self.hand.time)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -17,6 +17,7 @@
 from chutepin.counters import Counters
 from chutepin.facade import End
 from chutepin.logs import Log
+from chutepin.net import records
 from chutepin.net.records import RecordsService
 from chutepin.testbench.signals import send_signal
 from chutepin.testbench.standins.flood import FloodKind, FloodProcess
@@ -115,7 +116,7 @@
         listener.ends = []
         service = RecordsService(Address("127.0.0.1", 9), hand.clock, Counters(), Log(hand.clock), max_connections=3)
         service.listener = listener
-        monkeypatch.setattr(asyncio, "open_connection", fail_without_descriptor)
+        monkeypatch.setattr(records, "open_connection", fail_without_descriptor)
         for number in range(5):
             service.call(f"{number}", hand.time + 5, b"", False)
         await eventually(lambda: len(listener.ends) == 5)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -327,7 +327,7 @@
         self.stale: list[tuple[FakeConnection, str, int]] = []
         self.in_flight: list[tuple[FakeConnection, str, int]] = []  # calls that the service has received and may answer
 
-    async def connect(self, host: str, port: int) -> tuple[Any, Any]:
+    async def connect(self, host: str, port: int, read_bytes: int) -> tuple[Any, Any]:
         if self.refuse:
             raise ConnectionRefusedError
         self.connections_made.append(FakeConnection())
@@ -340,7 +340,7 @@
 
     def run_loop(self, step: Coroutine[Any, Any, None] | None = None) -> None:
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(records.asyncio, "open_connection", self.connect)  # type: ignore[attr-defined]
+            patch.setattr(records, "open_connection", self.connect)
             if step is not None:
                 self.loop.run_until_complete(step)
             for _ in range(6):
--- a/tests/test_service_reader_errors.py
+++ b/tests/test_service_reader_errors.py
@@ -50,11 +50,11 @@
             assert id == "a"
             ends.append(end)
 
-    async def connect(host: str, port: int) -> tuple[Any, Any]:
+    async def connect(host: str, port: int, read_bytes: int) -> tuple[Any, Any]:
         return connection.reader, connection
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(cast(Any, records).asyncio, "open_connection", connect)
+        patch.setattr(records, "open_connection", connect)
         service = RecordsService(Address("h", 1), hand.clock, counters, Log(hand.clock), max_connections=1)
         service.listener = Listener()
         service.call("a", hand.time + 5, b"x", repeatable=False)
@@ -81,7 +81,7 @@
     counters = Counters()
     reported = asyncio.Event()
 
-    async def connect(host: str, port: int) -> tuple[Any, Any]:
+    async def connect(host: str, port: int, read_bytes: int) -> tuple[Any, Any]:
         connection = FakeControlConnection()
         connection.reader.feed_data(answer)
         connection.reader.feed_eof()
@@ -94,7 +94,7 @@
             await asyncio.get_running_loop().create_future()
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(cast(Any, control).asyncio, "open_connection", connect)
+        patch.setattr(control, "open_connection", connect)
         patch.setattr(cast(Any, control).asyncio, "sleep", pause)
         reporter = Reporter(Address("h", 1), "n1", lambda: True, counters)
         running = asyncio.ensure_future(reporter.run())
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -24,7 +24,7 @@
 from chutepin.counters import Counters
 from chutepin.facade import End
 from chutepin.logs import Log
-from chutepin.net import records
+from chutepin.net import records, streams
 from chutepin.net.executor import ExecutorLink, Session
 from chutepin.net.executor import link as executor_link
 from chutepin.net.records import RecordsService
@@ -308,14 +308,14 @@
 def test_address_change_while_connecting_reaches_the_new_executor(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(stack: AsyncExitStack) -> None:
         old, new = RecordingServer(), RecordingServer()
-        link, new_address, connect = make_link(await old.start()), await new.start(), asyncio.open_connection
+        link, new_address, connect = make_link(await old.start()), await new.start(), streams.open_connection
 
         async def connect_during_move(host: str, port: int) -> Any:
             streams = await connect(host, port)
             link.move(new_address)
             return streams
 
-        monkeypatch.setattr(asyncio, "open_connection", connect_during_move)
+        monkeypatch.setattr(executor_link, "open_connection", connect_during_move)
         running = asyncio.ensure_future(link.run())
         await eventually(lambda: new.lines)
         assert new.lines == [b"JOIN 0\r\n"] and not old.lines
