Listener: connections take turns, and one client has a bounded part of each table and log

Cause: in each iteration of the event loop every connection had a whole read of 4 KiB handled, 132 messages of 31 bytes; answers, timers and notices of all others waited for the sum. An attempt that waited for the run of a key left its id with the key when it was withdrawn. The log had one rate for all events, the table of callers no room once 1,000 numbers had come, one connection might send under any number, and runs of withdrawn requests counted for no connection.

Change: `MessageTurns` grants eight turns of four messages in an iteration, in the order asked for; a free node grants at once and pays nothing. A removed attempt is removed from the key's waiting attempts. Each event of the log has its own rate. A connection counts as the balancer of its first request; a full table of callers replaces numbers used once. 64 requests of a connection whose runs go on, withdrawn or not, and the next is answered BUSY.

--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -82,7 +82,7 @@
         self._attempts = OpenAttempts(executor, counters, self.metrics, self.status)
         self._schedule = Schedule(clock, timer, self._attempts.by_id)
         self._idempotent = IdempotentRequests(self.keys, self._attempts, reports, self.classes, counters)
-        self._attempts.on_keyed_attempt_removed = self._idempotent.release
+        self._attempts.on_keyed_attempt_removed = self._idempotent.attempt_removed
         self.actions = DecisionActions(
             self._attempts,
             self._idempotent,
@@ -157,6 +157,15 @@
             return
         self._request_admission(attempt, record)
 
+    def reject(self, request: Request, caller: Caller) -> None:
+        """Answer a request that its listener does not submit; it does not run."""
+        self.metrics.request_received(request.cls)
+        self._answer_without_attempt(request, caller, self._intake.not_run(request, "requests.not_submitted"))
+
+    def is_open(self, id: str) -> bool:
+        """Return whether the attempt with this id awaits a response or its run is in progress."""
+        return id in self._attempts.by_id
+
     def _answer_without_attempt(self, request: Request, caller: Caller, refusal: Refusal) -> None:
         """Count and answer a request that does not become an attempt."""
         self._counters.add(refusal.counter)
--- a/chutepin/broker/idempotent.py
+++ b/chutepin/broker/idempotent.py
@@ -40,6 +40,13 @@
         request = attempt.request
         self._table.reserve(request.key or "", request.id, request.arrived, expires_at, fingerprint(request))
 
+    def attempt_removed(self, request: Request) -> None:
+        """Release the key of an attempt that is over, and end its wait for the run of another one.
+
+        An id that stayed with the key would be held until that run ends, for each attempt that was withdrawn."""
+        self._table.remove_waiter(request.key or "", request.id)
+        self.release(request)
+
     def release(self, request: Request) -> None:
         """Release the key of an attempt that is over, if the attempt holds the key and never ran.
 
--- a/chutepin/broker/intake.py
+++ b/chutepin/broker/intake.py
@@ -74,19 +74,19 @@
         is_new_key = is_keyed and record is None
         if self._is_full or (is_new_key and self._keys.is_full):
             # A full table could not prevent a second run of the key.
-            return self._not_run(request, "requests.full")
+            return self.not_run(request, "requests.full")
         if not is_started or (is_keyed and request.key is None):
             # A keyed request without a key cannot be recognised as a retry.
-            return self._not_run(request, "requests.not_taken")
+            return self.not_run(request, "requests.not_taken")
         if self._schedule.stop_at is not None and now >= self._schedule.stop_at:
             # A run started now could outlive the process.
-            return self._not_run(request, "requests.past_stop")
+            return self.not_run(request, "requests.past_stop")
         return None
 
     @property
     def _is_full(self) -> bool:
         return len(self._attempts.by_id) >= MAX_REQUESTS or self._attempts.held_bytes >= self._request_memory
 
-    def _not_run(self, request: Request, counter: str) -> Refusal:
+    def not_run(self, request: Request, counter: str) -> Refusal:
         """Return a rejection, or a failure if the request's key has run."""
         return Refusal(Verdict.FAILED if self._idempotent.has_run(request) else Verdict.REJECTED, counter)
--- a/chutepin/decision/caller_traffic.py
+++ b/chutepin/decision/caller_traffic.py
@@ -19,10 +19,23 @@
     def record(self, now: float, caller: int) -> None:
         """Count a request of a caller."""
         self.first_request_at = min(self.first_request_at, now)
-        if caller in self.callers or len(self.callers) < MAX_CALLERS:
+        if caller in self.callers or self._make_room():
             requests, first_seen_at = self.callers.get(caller, (0.0, now))
             self.callers[caller] = requests + 1, first_seen_at
 
+    def _make_room(self) -> bool:
+        """Return whether there is room for a new caller, after removing the oldest one if that sent little.
+
+        Numbers that are used once would otherwise keep new callers out until their counts have decayed."""
+        if len(self.callers) < MAX_CALLERS:
+            return True
+        oldest = next(iter(self.callers))
+        requests, first_seen_at = self.callers.pop(oldest)
+        if requests <= 1:
+            return True
+        self.callers[oldest] = requests, first_seen_at  # behind the others
+        return False
+
     def decay(self, elapsed: float) -> None:
         """Decay the request counts by the elapsed time."""
         retained = math.exp(-elapsed / TRAFFIC_DECAY_S)
--- a/chutepin/idempotency/table.py
+++ b/chutepin/idempotency/table.py
@@ -123,6 +123,14 @@
             return []
         return self._set_outcome(record, received.outcome, received.result)
 
+    def remove_waiter(self, key: str, attempt_id: str) -> None:
+        """Remove an attempt that no longer waits for the run of a key."""
+        record = self.records.get(key)
+        records = list(self._superseded.values()) if record is None else [record, *self._superseded.values()]
+        for waited_for in records:
+            if attempt_id in waited_for.waiting_ids:
+                waited_for.waiting_ids.remove(attempt_id)
+
     def remove_from_peer(self, key: str) -> list[str]:
         """Remove a key that the peer process released without a run; return the ids of the waiting attempts."""
         record = self.records.get(key)
--- a/chutepin/logs.py
+++ b/chutepin/logs.py
@@ -71,10 +71,28 @@
     return [plain]
 
 
+class _LineRate:
+    """The rate limit of one event: a token bucket."""
+
+    def __init__(self, now: float) -> None:
+        self._tokens = float(MAX_BURST_LINES)
+        self._refilled_at = now
+
+    def take(self, now: float) -> bool:
+        """Return whether a line may be written now."""
+        self._tokens = min(MAX_BURST_LINES, self._tokens + (now - self._refilled_at) * MAX_LINES_PER_S)
+        self._refilled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
 class Log:
     """A log of events with fields, written by structlog to standard error.
 
-    Events above the rate limit are dropped and counted, so that a peer cannot flood the log."""
+    Each event has its own rate limit. Events above it are dropped and counted, so that a peer can neither flood the log
+    nor keep other events out of it."""
 
     def __init__(self, clock: Clock, format: LogFormat = LogFormat.PLAIN) -> None:
         structlog = _import_structlog()
@@ -82,18 +100,18 @@
         self._logger: Any = structlog.wrap_logger(
             _StderrLogger(), processors=_processors(format), wrapper_class=structlog.BoundLogger
         )
-        self._tokens, self._refilled_at = float(MAX_BURST_LINES), clock.now()
+        self._rates: dict[str, _LineRate] = {}  # by event; the events are named in the code
         self.dropped = 0
 
     def event(self, name: str, /, **fields: object) -> None:
         """Write one event, or drop and count it above the rate limit."""
         now = self._clock.now()
-        self._tokens = min(MAX_BURST_LINES, self._tokens + (now - self._refilled_at) * MAX_LINES_PER_S)
-        self._refilled_at = now
-        if self._tokens < 1:
+        rate = self._rates.get(name)
+        if rate is None:
+            rate = self._rates[name] = _LineRate(now)
+        if not rate.take(now):
             self.dropped += 1
             return
-        self._tokens -= 1
         self.always(name, **fields)
 
     def always(self, name: str, /, **fields: object) -> None:
--- a/chutepin/net/resp/connection.py
+++ b/chutepin/net/resp/connection.py
@@ -63,6 +63,7 @@
     proxy: ProxyHeaderParser | None = None  # parser of the PROXY header, until a relay has sent it
     has_unhandled_messages: bool = False  # received messages wait for this connection's next turn
     has_ended_input: bool = False  # the balancer has ended its side of the connection, and was sent BYE for it
+    unfinished_ids: set[str] = field(default_factory=set)  # attempts, also of withdrawn requests; some may have ended
     caller: int | None = None  # the number of the balancer in its first request, which all its requests count for
 
     def received(self, data: bytes) -> None:
--- a/chutepin/net/resp/listener.py
+++ b/chutepin/net/resp/listener.py
@@ -32,10 +32,11 @@
 from ..byte_limit import ByteLimit
 from ..lines import ProtocolError
 from ..streams import BoundedStreamProtocol
-from .connection import Connection, Reply
+from .connection import MAX_MESSAGES_PER_TURN, Connection, Reply
 from .messages import BYE, CALL, CANCEL, HEALTH, format_health, parse_call
 from .sockets import FLUSH_TIMEOUT_S, READ_BYTES, CountingReader, SocketLink
 from .timeouts import DRAIN_READ_S, Expired, expired, next_deadline
+from .turns import MessageTurns
 
 MAX_OPEN_REQUESTS = 64  # on one connection; balancers limit themselves to 32
 MAX_UNSENT_BYTES = 192 * 1024  # for one connection: 32 answers of the maximum size fit
@@ -97,6 +98,7 @@
         self._received = ByteLimit(
             MAX_RECEIVED_BYTES, memory.received, MIN_COUNTED_RECEIVED_BYTES, self._received_bytes
         )
+        self._turns = MessageTurns()
         self.recorder: Recorder | None = None
         self._finished_replays: list[Connection] = []  # replayed connections whose input has ended
 
@@ -113,8 +115,16 @@
             connection.has_valid_message = True
             request.arrived += connection.time_shift_s
             request.due += connection.time_shift_s
+            # The number is that of the balancer: a connection with ever new ones would displace those of others.
+            if connection.caller is None:
+                connection.caller = request.caller
+            request.caller = connection.caller
             connection.open_requests[tag] = request.id
             self.table.message_received(connection.key, connection.last_used_at, ConnectionUsage.REQUESTS, True)
+            if self._has_too_many_attempts(connection):
+                self.broker.reject(request, Reply(connection, tag))
+                return
+            connection.unfinished_ids.add(request.id)
             self.broker.submit(request, Reply(connection, tag))
         elif verb == CANCEL:
             self.counters.add("cancels")
@@ -131,6 +141,16 @@
         else:
             raise ProtocolError("unknown verb")
 
+    def _has_too_many_attempts(self, connection: Connection) -> bool:
+        """Return whether a connection has as many attempts as it may have open requests.
+
+        The run of a request that was withdrawn may go on, so that a balancer which withdraws each of its requests
+        would otherwise have the attempts of all others."""
+        ids = connection.unfinished_ids
+        if len(ids) >= MAX_OPEN_REQUESTS:
+            ids = connection.unfinished_ids = {id for id in ids if self.broker.is_open(id)}
+        return len(ids) >= MAX_OPEN_REQUESTS
+
     @property
     def healthy(self) -> bool:
         """The answer to health checks: the decision module and the process both report healthy."""
@@ -341,15 +361,26 @@
     async def _read(self, connection: Connection, link: SocketLink) -> None:
         """Process input until the peer or the node ends the connection."""
         while data := await link.reader.read(READ_BYTES):
+            is_full_read = len(data) == READ_BYTES
             if not connection.closing:
-                connection.received(data)
+                connection.feed(data)
+                del data  # not held while the connection waits for its turns
+                await self._handle_messages(connection)
                 self._limit_received(connection)
                 if connection.closing:  # the input was malformed
                     self._finish_writing(connection, link)
-            if len(data) == READ_BYTES:  # more may be buffered: `read` would not yield to the event loop
+            if is_full_read:  # more may be buffered: `read` would not yield to the event loop
                 await asyncio.sleep(0)
         connection.closing = True
 
+    async def _handle_messages(self, connection: Connection) -> None:
+        """Process the received messages of a connection, in as many turns as they need."""
+        while connection.has_unhandled_messages:
+            await self._turns.take()
+            connection.handle_messages(MAX_MESSAGES_PER_TURN)
+            if connection.has_unhandled_messages:
+                await asyncio.sleep(0)
+
     def accept_proxied(self, connection: Connection, address: bytes) -> bool:
         """Admit the client address that a relay sent, in place of the relay's own; return False if rejected."""
         now, key = self.clock.now(), connection.key
