Clients that left: nothing more of theirs is run, and an id that ran does not run again

Cause: a connection's input was handled to its end, however it had ended. The system of a client that closed still sends what was written, and shows that no one reads only when something is sent to it. Ids were known while their request was open. An EXEC that waited for the executor's link was written whoever awaited it. In the decision module, an id that repeats itself was taken for the attempt that it replaces: rejected, then a KeyError that ended the connection.

Change: before each turn the listener asks the system for the peer's state; one that ended its side is sent BYE, which a closed connection answers with a reset, and is served to the end if it does not within 50 ms. `RecentRuns` remembers ids for the longest deadline; USE carries those of the other process in a field that earlier versions ignore. Commands that no one awaits any more are dropped when the link is back; AMQP deliveries read after the broker's end are not run.

Three stand-ins of the executor's handler get `is_run_wanted`, which says what `is_response_awaited` says there.

--- a/chutepin/broker/actions.py
+++ b/chutepin/broker/actions.py
@@ -6,10 +6,11 @@
 
 from ..decision import Idempotency
 from ..facade import End, Report, RunEnded
-from .attempts import NodeStatus, OpenAttempts, Phase
+from .attempts import Attempt, NodeStatus, OpenAttempts, Phase
 from .drain import DrainPlan
 from .idempotent import IdempotentRequests
 from .ports import Environment
+from .recent_runs import RecentRuns
 from .schedule import Schedule
 
 
@@ -24,6 +25,7 @@
         drain: DrainPlan,
         status: NodeStatus,
         reports: deque[Report],
+        recent_runs: RecentRuns,
         environment: Environment,
         announces_value: bool,
     ) -> None:
@@ -34,6 +36,7 @@
         self._drain = drain
         self._status = status
         self._reports = reports
+        self._recent_runs = recent_runs
         self._executor = environment.executor
         self._records = environment.records
         self._clock = environment.clock
@@ -46,14 +49,23 @@
         attempt = self._attempts.by_id[id]
         request = attempt.request
         is_in_time = self._counters.check_invariant(not self._drain.is_too_late(request), "no run after the grace")
-        if not is_in_time or not self._idempotent.start_run(attempt):
+        if not is_in_time or self._has_run_at_peer(attempt) or not self._idempotent.start_run(attempt):
             self._reports.append(RunEnded(id, End.NOT_STARTED))
             return
+        self._recent_runs.started(id, self._clock.now(), attempt.idempotency is Idempotency.KEYED)
         attempt.phase = Phase.RUNNING
         self._counters.add("runs")
         self._attempts.count_run()
         self._executor.exec(id, request.cls, request.body, attempt.idempotency is Idempotency.IDEMPOTENT)
 
+    def _has_run_at_peer(self, attempt: Attempt) -> bool:
+        """Return whether the node's other process has run this id meanwhile, and answer the attempt if so."""
+        if attempt.request.id not in self._recent_runs:
+            return False
+        self._counters.add("requests.repeated")
+        self._attempts.fail(attempt)
+        return True
+
     def stop(self, id: str) -> None:
         """Stop a run; the attempt stays open until the executor reports the end of the run."""
         attempt = self._attempts.by_id.get(id)
--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -28,9 +28,10 @@
 from .decisions import DecisionQueue
 from .drain import DrainPlan
 from .idempotent import IdempotentRequests
-from .intake import KEY_IN_DOUBT, MALFORMED, Intake, Refusal
+from .intake import KEY_IN_DOUBT, MALFORMED, MAX_CLOCK_LEAD_S, REPEATED, Intake, Refusal
 from .peer_exchange import PeerExchange
 from .ports import Caller, Environment, Executor, Records, Timer
+from .recent_runs import RecentRuns
 from .requests import Answer, Request, fingerprint
 from .schedule import ANSWER_GRACE_S, Schedule
 from .supervision import Supervision
@@ -57,10 +58,12 @@
         timer: Timer,
         key_memory: int,
         request_memory: int,
+        run_memory: int,
     ) -> None:
         """Create a broker that waits for its executor.
 
-        `key_memory`, `request_memory`: bytes that idempotency keys and open requests may use."""
+        `key_memory`, `request_memory`, `run_memory`: bytes that idempotency keys, open requests and the ids of recent
+        runs may use."""
         self.classes: dict[str, RequestClass] = {cls.name: cls for cls in settings.classes}
         self.metrics = RequestMetrics(self.classes)
         self.status = NodeStatus(settings.max_idle_time)
@@ -79,6 +82,9 @@
         self._next_sweep = 0.0
         self._drain = DrainPlan(settings.drain_grace)
         reports: deque[Report] = deque()
+        # A client that repeats what it sent repeats its times too: past the deadline a request is answered as late.
+        longest_deadline_s = max(cls.deadline for cls in settings.classes)
+        self.recent_runs = RecentRuns(longest_deadline_s + MAX_CLOCK_LEAD_S, run_memory)
         self._attempts = OpenAttempts(executor, counters, self.metrics, self.status)
         self._schedule = Schedule(clock, timer, self._attempts.by_id)
         self._idempotent = IdempotentRequests(self.keys, self._attempts, reports, self.classes, counters)
@@ -90,6 +96,7 @@
             self._drain,
             self.status,
             reports,
+            self.recent_runs,
             Environment(clock, counters, log, executor, records, timer),
             announces_value=settings.signal is not decision.LoadSignal.NONE,
         )
@@ -98,7 +105,14 @@
         self._intake = Intake(settings, self._attempts, request_memory, self.keys, self._idempotent, self._schedule)
         self._supervision = Supervision(self._attempts, self._schedule, self._decisions, executor, counters)
         self.peer_exchange = PeerExchange(
-            self.keys, self._idempotent, self._attempts, self._decisions, clock, counters, self._request_admission
+            self.keys,
+            self._idempotent,
+            self._attempts,
+            self._decisions,
+            self.recent_runs,
+            clock,
+            counters,
+            self._request_admission,
         )
 
     # Called by listeners and the node:
@@ -138,6 +152,9 @@
             return
         is_keyed = cls.idempotency is Idempotency.KEYED
         record = self.keys.find(request.key, request.arrived) if is_keyed else None
+        if record is None and request.id in self.recent_runs:
+            self._answer_without_attempt(request, caller, REPEATED)
+            return
         refusal = self._intake.refusal(request, record, is_keyed, now, self.started)
         if refusal is not None:
             self._answer_without_attempt(request, caller, refusal)
@@ -247,6 +264,8 @@
         if end is End.NOT_STARTED and (attempt.is_in_doubt or attempt.has_called):
             self._counters.add("runs.ended_in_doubt")
             end = End.CANCELLED  # the key is kept until its window ends
+        if end is End.NOT_STARTED:
+            self.recent_runs.not_started(id)
         self._counters.add(f"runs.{end.value}")
         if attempt.phase is Phase.CALLING_DEPENDENCY:
             self._records.cancel_call(id)
@@ -274,6 +293,11 @@
         attempt = self._attempts.by_id.get(id)
         return attempt is not None and attempt.awaiting_response
 
+    def is_run_wanted(self, id: str) -> bool:
+        """Return whether a run's result is awaited: by its own caller, or by another attempt of its key."""
+        attempt = self._attempts.by_id.get(id)
+        return attempt is not None and (attempt.awaiting_response or self._idempotent.is_awaited(attempt))
+
     def call_wanted(self, id: str, notice: int, body: bytes) -> None:
         """Report to the decision module that a run waits for a call to the records service."""
         attempt = self._attempts.by_id.get(id)
--- a/chutepin/broker/idempotent.py
+++ b/chutepin/broker/idempotent.py
@@ -35,6 +35,12 @@
         record = self._table.find(request.key, request.arrived)
         return record is not None and record.has_run
 
+    def is_awaited(self, attempt: Attempt) -> bool:
+        """Return whether other attempts wait for the result of this attempt's run."""
+        if attempt.idempotency is not Idempotency.KEYED:
+            return False
+        return self._table.is_awaited(attempt.request.key or "", attempt.request.id)
+
     def reserve(self, attempt: Attempt, expires_at: float) -> None:
         """Reserve the key of an attempt; take over the record of an older attempt that never ran."""
         request = attempt.request
--- a/chutepin/broker/intake.py
+++ b/chutepin/broker/intake.py
@@ -25,6 +25,7 @@
 
 
 MALFORMED = Refusal(Verdict.FAILED, "requests.malformed")
+REPEATED = Refusal(Verdict.FAILED, "requests.repeated")  # its id has run
 KEY_IN_DOUBT = Refusal(Verdict.FAILED, "keys.in_doubt")
 
 
--- a/chutepin/broker/peer_exchange.py
+++ b/chutepin/broker/peer_exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ..clock import Clock
 from ..counters import Counters
@@ -11,6 +11,7 @@
 from .attempts import Attempt, OpenAttempts, Phase
 from .decisions import DecisionQueue
 from .idempotent import IdempotentRequests
+from .recent_runs import RecentRuns
 from .requests import fingerprint
 
 
@@ -23,6 +24,7 @@
         idempotent: IdempotentRequests,
         attempts: OpenAttempts,
         decisions: DecisionQueue,
+        recent_runs: RecentRuns,
         clock: Clock,
         counters: Counters,
         request_admission: Callable[[Attempt, IdempotencyRecord | None], None],
@@ -32,6 +34,7 @@
         self._idempotent = idempotent
         self._attempts = attempts
         self._decisions = decisions
+        self._recent_runs = recent_runs
         self._clock = clock
         self._counters = counters
         self._request_admission = request_admission
@@ -46,6 +49,10 @@
         facade = self._decisions.facade
         self._decisions.run(lambda: facade.set_peer_usage(self._clock.now(), running, memory_kb))
 
+    def runs_started(self, ids: Sequence[str]) -> None:
+        """Record the ids of requests that the peer process runs."""
+        self._recent_runs.started_at_peer(ids, self._clock.now())
+
     def learned(self) -> dict[str, object]:
         """Return the learned statistics of the decision module as JSON values."""
         return self._decisions.facade.learned()
--- a/chutepin/decision/arrivals.py
+++ b/chutepin/decision/arrivals.py
@@ -126,6 +126,8 @@
         server = self._server
         idempotency = job.request_class.idempotency
         original = server.requests.jobs.get(job.request.repeats or "")
+        if original is job:  # the id of an attempt that ran came again; that attempt is no longer in the table
+            original = None
         if idempotency is Idempotency.KEYED and original and original.state is RequestState.QUEUED:
             # The window of an earlier run may cover an attempt that arrived earlier, but not one that arrived later. So
             # an attempt replaces only an original that did not arrive after it.
--- a/chutepin/handover/fields.py
+++ b/chutepin/handover/fields.py
@@ -41,6 +41,15 @@
             raise self._error(name) from error
         return value
 
+    def texts(self, name: str, max_items: int) -> tuple[str, ...]:
+        """Return a list of texts."""
+        values = self._value(name)
+        if not isinstance(values, list) or len(values) > max_items:
+            raise self._error(name)
+        if not all(isinstance(value, str) and len(value) <= MAX_TEXT_CHARACTERS for value in values):
+            raise self._error(name)
+        return tuple(values)
+
     def optional_text(self, name: str) -> str | None:
         """Return a text, or None if the field is null."""
         return None if self._value(name) is None else self.text(name)
--- a/chutepin/handover/frames.py
+++ b/chutepin/handover/frames.py
@@ -32,6 +32,7 @@
 
 PROTOCOL_VERSION = 1
 MAX_BODY_BYTES = 512 * 1024  # ten times the learned statistics of a thousand callers
+MAX_STARTED_IDS = 1000  # in one frame
 VERBS = frozenset(
     {
         "HELLO",
@@ -134,8 +135,8 @@
             return encode_record(record)
         case KeyRemoved(key):
             return encode_frame("DROP", key=key)
-        case ProcessUsage(running, memory_kb, descriptors):
-            return encode_frame("USE", running=running, memory=memory_kb, descriptors=descriptors)
+        case ProcessUsage():
+            return _encode_usage(message)
         case KeyRequest(request_id, key, fingerprint, expires_at):
             return encode_frame("ASK", id=request_id, key=key, contents=fingerprint.hex(), until=expires_at)
         case KeyReply(request_id, key, is_granted):
@@ -158,6 +159,18 @@
             return encode_frame("YOURS")
 
 
+def _encode_usage(usage: ProcessUsage) -> bytes:
+    """Return the frame of a usage. Peers of earlier versions ignore the field of started runs."""
+    values: dict[str, object] = {
+        "running": usage.running,
+        "memory": usage.memory_kb,
+        "descriptors": usage.descriptors,
+    }
+    if usage.started_ids:
+        values["runs"] = usage.started_ids
+    return encode_frame("USE", **values)
+
+
 def decode(frame: Frame) -> Message:  # noqa: C901  one case per verb
     """Return the message of a frame. Raises MalformedFrameError."""
     fields = Fields(frame.verb, frame.fields)
@@ -167,7 +180,12 @@
         case "DROP":
             return KeyRemoved(fields.text("key"))
         case "USE":
-            return ProcessUsage(fields.count("running"), fields.number("memory"), fields.count("descriptors"))
+            return ProcessUsage(
+                fields.count("running"),
+                fields.number("memory"),
+                fields.count("descriptors"),
+                fields.texts("runs", MAX_STARTED_IDS) if "runs" in frame.fields else (),
+            )
         case "ASK":
             return KeyRequest(
                 fields.text("id"), fields.text("key"), fields.fingerprint("contents"), fields.number("until")
--- a/chutepin/handover/messages.py
+++ b/chutepin/handover/messages.py
@@ -65,6 +65,7 @@
     running: int
     memory_kb: float
     descriptors: int
+    started_ids: tuple[str, ...] = ()  # requests that the sender has run, and had not told of before
 
 
 class KeyReply(NamedTuple):
--- a/chutepin/handover/session.py
+++ b/chutepin/handover/session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -10,7 +10,7 @@
 from ..counters import Counters
 from ..idempotency import IdempotencyRecord, KeyOwnership, KeyRequest
 from .fields import MalformedFrameError
-from .frames import Frame, decode, encode, encode_record
+from .frames import MAX_STARTED_IDS, Frame, decode, encode, encode_record
 from .messages import (
     HandoverAccepted,
     KeyRemoved,
@@ -40,6 +40,12 @@
     def records(self) -> list[IdempotencyRecord]:
         """Return all records of this process."""
 
+    def recent_run_ids(self) -> list[str]:
+        """Return the ids of the requests that ran lately at either process."""
+
+    def peer_runs_started(self, ids: Sequence[str]) -> None:
+        """Record requests that ran at the peer process."""
+
     def is_current(self, record: IdempotencyRecord) -> bool:
         """Return whether the record is still in the table."""
 
@@ -118,6 +124,11 @@
 
     # Both processes:
 
+    def run_started(self, id: str) -> None:
+        """Tell the peer that a request runs here, so that its id does not run there too."""
+        if self.send is not None:
+            self._send(self._host.usage()._replace(started_ids=(id,)))
+
     def send_usage(self) -> bool:
         """Send the usage of this process; return whether the kernel accepted the message."""
         return self._send(self._host.usage())
@@ -159,6 +170,7 @@
                 self._host.peer_key_removed(key)
             case ProcessUsage():
                 self._host.set_peer_usage(message)
+                self._host.peer_runs_started(message.started_ids)
             case KeyRequest():
                 is_granted = self._host.peer_requests_key(message)
                 self._send(KeyReply(message.request_id, message.key, is_granted))
@@ -211,6 +223,9 @@
         for record in self._host.records():
             if self._host.is_current(record):
                 yield encode_record(record)
+        ids = self._host.recent_run_ids()
+        for start in range(0, len(ids), MAX_STARTED_IDS):
+            yield encode(self._host.usage()._replace(started_ids=tuple(ids[start : start + MAX_STARTED_IDS])))
 
     def keys_sent(self) -> None:
         """Send SYNCED to the successor.
--- a/chutepin/handover_host.py
+++ b/chutepin/handover_host.py
@@ -37,6 +37,14 @@
         """Return all records of this process."""
         return list(self._broker.keys.records.values())
 
+    def recent_run_ids(self) -> list[str]:
+        """Return the ids of the requests that ran lately at either process."""
+        return self._broker.recent_runs.ids()
+
+    def peer_runs_started(self, ids: Sequence[str]) -> None:
+        """Record requests that ran at the peer process."""
+        self._broker.peer_exchange.runs_started(ids)
+
     def is_current(self, record: IdempotencyRecord) -> bool:
         """Return whether the record is still in the table."""
         return self._broker.keys.records.get(record.key) is record
--- a/chutepin/idempotency/table.py
+++ b/chutepin/idempotency/table.py
@@ -123,6 +123,13 @@
             return []
         return self._set_outcome(record, received.outcome, received.result)
 
+    def is_awaited(self, key: str, run_id: str) -> bool:
+        """Return whether attempts wait for a run of this key."""
+        record = self.records.get(key)
+        if record is None or record.run_id != run_id:
+            record = self._superseded.get(run_id)
+        return record is not None and bool(record.waiting_ids)
+
     def remove_waiter(self, key: str, attempt_id: str) -> None:
         """Remove an attempt that no longer waits for the run of a key."""
         record = self.records.get(key)
--- a/chutepin/memory_budget.py
+++ b/chutepin/memory_budget.py
@@ -25,6 +25,7 @@
     received: int  # input of balancers that is not processed yet
     unsent: int  # output that balancers have not read
     executor: int  # commands that the executor has not read
+    runs: int  # ids of recent runs
     records: int  # partly received replies and unsent calls of all connections to the records service
 
 
@@ -32,11 +33,12 @@
     """Return the shares under a limit. `max_connections`: to balancers and to the records service together."""
     divided = max(MIN_DIVIDED_BYTES, limit_bytes - BASE_BYTES - max_connections * CONNECTION_BYTES)
     return MemoryBudget(
-        keys=int(min(limit_bytes * MAX_KEY_SHARE, divided * 0.5)),
+        keys=int(min(limit_bytes * MAX_KEY_SHARE, divided * 0.42)),
         requests=int(min(16 * MIB, divided * 0.2)),
         received=int(min(8 * MIB, divided * 0.1)),
         unsent=int(min(24 * MIB, divided * 0.1)),
         executor=int(min(8 * MIB, divided * 0.05)),
+        runs=int(min(4 * MIB, divided * 0.05)),
         records=int(min(8 * MIB, divided * 0.05)),
     )
 
--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -28,7 +28,7 @@
 from ...decision import Idempotency, LoadSignal
 from ...logs import Log
 from ..lines import ProtocolError
-from ..streams import LINK_READ_BYTES, open_connection
+from ..streams import LINK_READ_BYTES, PeerState, open_connection, peer_state
 from .reconnect import ReconnectDelay
 from .requests import request_from
 from .session import Content, Session, State, consumer_tag
@@ -94,6 +94,9 @@
         """Handle a complete delivery.
 
         A delivery that can never be served is rejected without requeue: requeued, it would be delivered again."""
+        if self._has_broker_left():
+            self.counters.add("amqp.left_unread")  # a run could not be acknowledged, and would be delivered again
+            return
         tag = int(content.deliver.delivery_tag or 0)
         index = self._queue_indexes.get(str(content.deliver.consumer_tag))
         try:
@@ -118,6 +121,12 @@
         if tag not in session.unsettled:  # the broker has answered within `submit`
             self._open_deliveries.pop(request.id, None)
 
+    def _has_broker_left(self) -> bool:
+        """Return whether the AMQP broker has ended its side, and delivers again what is being read now."""
+        if self._link is None:
+            return False
+        return self._link.is_closing() or peer_state(self._link.get_extra_info("socket")) is not PeerState.OPEN
+
     def _request_from(self, content: Content, properties: commands.Basic.Properties, queue: QueueConfig) -> Request:
         contract = self.broker.classes[queue.cls]
         rank = (self._weights.index(contract.priority_weight) + 0.5) / len(self._weights)
--- a/chutepin/net/executor/commands.py
+++ b/chutepin/net/executor/commands.py
@@ -50,6 +50,10 @@
         """Remove all commands of a run."""
         self._commands = [command for command in self._commands if command.id != id]
 
+    def unwritten_execs(self) -> list[str]:
+        """Return the runs whose EXEC was never written, so that they certainly did not start."""
+        return [c.id for c in self._commands if c.is_exec and not c.written and not c.in_doubt]
+
     def remove_execs(self, id: str) -> list[Command]:
         """Remove and return the EXECs of a run."""
         execs = [command for command in self._commands if command.id == id and command.is_exec]
--- a/chutepin/net/executor/notices.py
+++ b/chutepin/net/executor/notices.py
@@ -25,6 +25,9 @@
     def is_response_awaited(self, id: str) -> bool:
         """Return whether the caller of a run's request still awaits the response."""
 
+    def is_run_wanted(self, id: str) -> bool:
+        """Return whether a run's result is awaited: by its own caller, or by another attempt of its key."""
+
     def call_wanted(self, id: str, notice: int, body: bytes) -> None:
         """Handle a run's request for a call with this body; `notice` is the number by which to bypass it."""
 
--- a/chutepin/net/executor/session.py
+++ b/chutepin/net/executor/session.py
@@ -148,6 +148,15 @@
             self._counters.add("executor.probed", len(probed_ids))
             self.meter()
 
+    def _drop_unwanted_execs(self) -> None:
+        """End the runs whose requests were over before their EXEC could be written."""
+        assert self.notices is not None
+        for id in self._commands.unwritten_execs():
+            if not self.notices.is_run_wanted(id):
+                self._counters.add("executor.withdrawn")
+                self._commands.remove_run(id)
+                self.notices.run_ended(id, End.NOT_STARTED, 0.0, b"")
+
     def _repeat_execs_not_found(self, meter: int) -> None:
         """Write the EXECs again whose probes found no run by this METER, unless their requests are over meanwhile."""
         assert self.notices is not None
@@ -273,6 +282,7 @@
             self._repeated_returns.run_ended(id)
             self.notices.run_ended(id, End.CANCELLED, 0.0, b"")
         if meter >= self._sync_meter >= 0:
+            self._drop_unwanted_execs()
             self._sync_meter = -1
             self._repeated_returns.link_synced()
             for command in self._commands:
--- a/chutepin/net/resp/connection.py
+++ b/chutepin/net/resp/connection.py
@@ -61,6 +61,7 @@
     time_shift_s: float = 0.0  # added to the timestamps of the requests, for a replay
     key: int = 0  # of this connection in the listener's tables; 0 for a replay, which has no socket
     proxy: ProxyHeaderParser | None = None  # parser of the PROXY header, until a relay has sent it
+    is_behind: bool = False  # more input than one read was waiting
     has_unhandled_messages: bool = False  # received messages wait for this connection's next turn
     has_ended_input: bool = False  # the balancer has ended its side of the connection, and was sent BYE for it
     unfinished_ids: set[str] = field(default_factory=set)  # attempts, also of withdrawn requests; some may have ended
--- a/chutepin/net/resp/listener.py
+++ b/chutepin/net/resp/listener.py
@@ -22,7 +22,7 @@
     RejectionReason,
     Rules,
 )
-from ...broker import Broker
+from ...broker import Answer, Broker, Verdict
 from ...clock import Clock
 from ...config import Address
 from ...counters import Counters
@@ -31,9 +31,9 @@
 from ...memory_budget import DEFAULT_BUDGET, MemoryBudget
 from ..byte_limit import ByteLimit
 from ..lines import ProtocolError
-from ..streams import BoundedStreamProtocol
+from ..streams import BoundedStreamProtocol, PeerState
 from .connection import MAX_MESSAGES_PER_TURN, Connection, Reply
-from .messages import BYE, CALL, CANCEL, HEALTH, format_health, parse_call
+from .messages import BYE, CALL, CANCEL, HEALTH, format_answer, format_health, parse_call
 from .sockets import FLUSH_TIMEOUT_S, READ_BYTES, CountingReader, SocketLink
 from .timeouts import DRAIN_READ_S, Expired, expired, next_deadline
 from .turns import MessageTurns
@@ -43,6 +43,9 @@
 MIN_COUNTED_UNSENT_BYTES = 16384
 MAX_RECEIVED_BYTES = 2**16  # for one connection; its reader and parser hold less
 MIN_COUNTED_RECEIVED_BYTES = 1024
+LEAVE_CHECK_S = 0.01  # interval between checks whether a balancer that ended its side has reset the connection
+LEAVE_CHECKS = 5
+ANSWER_CHECK_S = 0.05  # interval between checks whether a balancer that ended its side has all answers
 SWEEP_INTERVAL_S = 0.25  # between checks for idle connections
 FIRST_MESSAGE_TIMEOUT_S = 2.0  # for a new connection to send its first complete message
 DESCRIPTOR_PART = "front"  # the listener's name in the descriptor budget
@@ -130,6 +133,10 @@
             self.counters.add("cancels")
             if (id := connection.open_requests.pop(tag, None)) is not None:
                 self.broker.caller_disconnected(id)
+                if connection.is_behind:
+                    # Nothing else may be sent to a balancer that withdraws each request. If it has closed the
+                    # connection, its system still sends what it wrote before, and resets the connection for an answer.
+                    connection.write(format_answer(tag, Answer(Verdict.FAILED, value=self.broker.value)))
             self.table.message_received(connection.key, connection.last_used_at, None, bool(connection.open_requests))
         elif verb == HEALTH:
             self.counters.add("checks")
@@ -342,9 +349,7 @@
         self.counters.add("balancers.connections")
         try:
             await self._read(connection, link)
-            # A balancer that half-closed its side still reads: its open requests are answered.
-            while connection.open_requests and not transport.is_closing():
-                await asyncio.sleep(0.05)
+            await self._await_answers(connection, link)
             await self._flush(writer)
         finally:
             self._links.pop(key, None)
@@ -359,28 +364,58 @@
             writer.close()
 
     async def _read(self, connection: Connection, link: SocketLink) -> None:
-        """Process input until the peer or the node ends the connection."""
+        """Process input until the peer or the node ends the connection.
+
+        What a balancer that has left sent before is not processed: no one reads the answers."""
         while data := await link.reader.read(READ_BYTES):
-            is_full_read = len(data) == READ_BYTES
+            connection.is_behind = len(data) == READ_BYTES
             if not connection.closing:
                 connection.feed(data)
                 del data  # not held while the connection waits for its turns
-                await self._handle_messages(connection)
+                await self._handle_messages(connection, link)
                 self._limit_received(connection)
                 if connection.closing:  # the input was malformed
                     self._finish_writing(connection, link)
-            if is_full_read:  # more may be buffered: `read` would not yield to the event loop
+            if connection.is_behind:  # more may be buffered: `read` would not yield to the event loop
                 await asyncio.sleep(0)
         connection.closing = True
 
-    async def _handle_messages(self, connection: Connection) -> None:
+    async def _handle_messages(self, connection: Connection, link: SocketLink) -> None:
         """Process the received messages of a connection, in as many turns as they need."""
         while connection.has_unhandled_messages:
             await self._turns.take()
+            if await self._has_left(connection, link):
+                self.counters.add("balancers.left")
+                connection.closing = True
+                connection.has_unhandled_messages = False
+                link.transport.abort()
+                return
             connection.handle_messages(MAX_MESSAGES_PER_TURN)
             if connection.has_unhandled_messages:
                 await asyncio.sleep(0)
 
+    async def _has_left(self, connection: Connection, link: SocketLink) -> bool:
+        """Return whether no one reads the answers to further requests of a connection.
+
+        A balancer that has ended its side may still read its answers, or may have closed the connection, and the system
+        does not tell which: BYE makes the balancer's system reset a connection that is closed."""
+        state = link.peer_state
+        if state is not PeerState.ENDED or connection.has_ended_input:
+            return state is PeerState.RESET
+        connection.has_ended_input = True
+        connection.write(BYE)
+        connection.bye_sent_at = connection.bye_sent_at or self.clock.now()
+        for _ in range(LEAVE_CHECKS):
+            if link.peer_state is PeerState.RESET:
+                return True
+            await asyncio.sleep(LEAVE_CHECK_S)
+        return False
+
+    async def _await_answers(self, connection: Connection, link: SocketLink) -> None:
+        """Wait until a balancer that ended its side has an answer to each of its requests, or has left."""
+        while connection.open_requests and not await self._has_left(connection, link):
+            await asyncio.sleep(ANSWER_CHECK_S)
+
     def accept_proxied(self, connection: Connection, address: bytes) -> bool:
         """Admit the client address that a relay sent, in place of the relay's own; return False if rejected."""
         now, key = self.clock.now(), connection.key
--- a/chutepin/net/streams.py
+++ b/chutepin/net/streams.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 from enum import Enum
@@ -84,6 +85,6 @@
     """Return the state of the peer of a TCP connection. `sock`: a socket, or asyncio's wrapper of one."""
     try:
         state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_STATE_BYTES)[0]
-    except OSError:  # the socket is closed
-        return PeerState.RESET
+    except OSError as error:  # the socket is closed, or the system tells no state
+        return PeerState.RESET if error.errno == errno.EBADF else PeerState.OPEN
     return _PEER_STATES.get(state, PeerState.OPEN)
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -160,6 +160,7 @@
             timer,
             self.memory.keys,
             self.memory.requests,
+            self.memory.runs,
         )
         broker.on_started = self._on_executor_started
         timer.broker = broker
@@ -229,6 +230,7 @@
         session = HandoverSession(host, HandoverStateMachine(window), self.clock, self.counters)
         self.broker.peer = session
         self.broker.keys.replicate = session.replicate
+        self.broker.recent_runs.announce = session.run_started
         link = HandoverLink(Rendezvous(path), session, self._listening_sockets, self.clock, self.counters, self.log)
         link.start_serving = self._serve
         return link
--- a/tests/executor_world.py
+++ b/tests/executor_world.py
@@ -96,6 +96,7 @@
             self.ports,
             key_memory=MEMORY_BYTES // 3,
             request_memory=MEMORY_BYTES,
+            run_memory=2**20,
         )
         self.session.notices = self.broker
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -117,6 +117,7 @@
             ports,
             key_memory=memory // 3,
             request_memory=memory,
+            run_memory=2**20,
         )
         if up:
             self.broker.executor_started(False, self.hand.time)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -403,6 +403,9 @@
     def is_response_awaited(self, id: str) -> bool:
         return True
 
+    def is_run_wanted(self, id: str) -> bool:
+        return self.is_response_awaited(id)
+
     def run_ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
         self.ends.append((id, end))
 
--- a/tests/test_handover_session.py
+++ b/tests/test_handover_session.py
@@ -37,11 +37,14 @@
         self.peer_lost = broker.peer_exchange.peer_lost
         self.learned_statistics = broker.peer_exchange.learned
         self.adopt_statistics = broker.peer_exchange.adopt
+        self.recent_run_ids = broker.recent_runs.ids
+        self.peer_runs_started = broker.peer_exchange.runs_started
         self.session = HandoverSession(
             self, HandoverStateMachine(WINDOW + 1.0), self.core.hand.clock, self.core.counters
         )
         broker.peer = self.session
         broker.keys.replicate = self.session.replicate
+        broker.recent_runs.announce = self.session.run_started
 
     def records(self) -> list[IdempotencyRecord]:
         return list(self.core.broker.keys.records.values())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -148,6 +148,9 @@
     def is_response_awaited(self, id: str) -> bool:
         return id not in self.ended_requests
 
+    def is_run_wanted(self, id: str) -> bool:
+        return self.is_response_awaited(id)
+
     def run_ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
         if end is End.CANCELLED:
             assert id in self.ended_requests, "run of an open request was stopped for good"
--- a/tests/test_repeated_returns.py
+++ b/tests/test_repeated_returns.py
@@ -78,6 +78,9 @@
     def is_response_awaited(self, id: str) -> bool:
         return True
 
+    def is_run_wanted(self, id: str) -> bool:
+        return self.is_response_awaited(id)
+
     def run_ended(self, id: str, end: End, elapsed: float, result: bytes) -> None:
         assert id not in self.received_ends
         self.received_ends[id] = end, result
