--- a/chutepin/net/resp/listener.py
+++ b/chutepin/net/resp/listener.py
@@ -15,14 +15,13 @@
     Acceptor,
     AddressSharing,
     ConnectionTable,
-    ConnectionUsage,
     Deadlines,
     DescriptorBudget,
     ProxyHeaderParser,
     RejectionReason,
     Rules,
 )
-from ...broker import Answer, Broker, Verdict
+from ...broker import Broker
 from ...clock import Clock
 from ...config import Address
 from ...counters import Counters
@@ -30,22 +29,19 @@
 from ...logs import Log
 from ...memory_budget import DEFAULT_BUDGET, MemoryBudget
 from ..byte_limit import ByteLimit
-from ..lines import ProtocolError
-from ..streams import BoundedStreamProtocol, PeerState
-from .connection import MAX_MESSAGES_PER_TURN, Connection, Reply
-from .messages import BYE, CALL, CANCEL, HEALTH, format_answer, format_health, parse_call
+from ..streams import BoundedStreamProtocol
+from .connection import MAX_MESSAGES_PER_TURN, Connection
+from .departure import has_left, wait_for_answers
+from .message_handler import MessageHandler
+from .messages import BYE
 from .sockets import FLUSH_TIMEOUT_S, READ_BYTES, CountingReader, SocketLink
 from .timeouts import DRAIN_READ_S, Expired, expired, next_deadline
 from .turns import MessageTurns
 
-MAX_OPEN_REQUESTS = 64  # on one connection; balancers limit themselves to 32
 MAX_UNSENT_BYTES = 192 * 1024  # for one connection: 32 answers of the maximum size fit
 MIN_COUNTED_UNSENT_BYTES = 16384
 MAX_RECEIVED_BYTES = 2**16  # for one connection; its reader and parser hold less
 MIN_COUNTED_RECEIVED_BYTES = 1024
-LEAVE_CHECK_S = 0.01  # interval between checks whether a balancer that ended its side has reset the connection
-LEAVE_CHECKS = 5
-ANSWER_CHECK_S = 0.05  # interval between checks whether a balancer that ended its side has all answers
 SWEEP_INTERVAL_S = 0.25  # between checks for idle connections
 FIRST_MESSAGE_TIMEOUT_S = 2.0  # for a new connection to send its first complete message
 DESCRIPTOR_PART = "front"  # the listener's name in the descriptor budget
@@ -102,61 +98,13 @@
             MAX_RECEIVED_BYTES, memory.received, MIN_COUNTED_RECEIVED_BYTES, self._received_bytes
         )
         self._turns = MessageTurns()
+        self._messages = MessageHandler(broker, clock, counters, self.table, lambda: self.healthy)
         self.recorder: Recorder | None = None
         self._finished_replays: list[Connection] = []  # replayed connections whose input has ended
 
     def handle_message(self, connection: Connection, items: list[bytes]) -> None:
         """Handle one message from a balancer. Raises ProtocolError."""
-        if len(items) < 2 or not items[1].isdigit() or len(items[1]) > 19:
-            raise ProtocolError("message has no valid tag")
-        verb, tag = items[0], items[1]
-        connection.last_used_at = self.clock.now()
-        if verb == CALL:
-            if tag in connection.open_requests or len(connection.open_requests) >= MAX_OPEN_REQUESTS:
-                raise ProtocolError("tag is already open, or too many open requests")
-            request = parse_call(items)
-            connection.has_valid_message = True
-            request.arrived += connection.time_shift_s
-            request.due += connection.time_shift_s
-            # The number is that of the balancer: a connection with ever new ones would displace those of others.
-            if connection.caller is None:
-                connection.caller = request.caller
-            request.caller = connection.caller
-            connection.open_requests[tag] = request.id
-            self.table.message_received(connection.key, connection.last_used_at, ConnectionUsage.REQUESTS, True)
-            if self._has_too_many_attempts(connection):
-                self.broker.reject(request, Reply(connection, tag))
-                return
-            connection.unfinished_ids.add(request.id)
-            self.broker.submit(request, Reply(connection, tag))
-        elif verb == CANCEL:
-            self.counters.add("cancels")
-            if (id := connection.open_requests.pop(tag, None)) is not None:
-                self.broker.caller_disconnected(id)
-                if connection.is_behind:
-                    # Nothing else may be sent to a balancer that withdraws each request. If it has closed the
-                    # connection, its system still sends what it wrote before, and resets the connection for an answer.
-                    connection.write(format_answer(tag, Answer(Verdict.FAILED, value=self.broker.value)))
-            self.table.message_received(connection.key, connection.last_used_at, None, bool(connection.open_requests))
-        elif verb == HEALTH:
-            self.counters.add("checks")
-            connection.carries_health_checks = connection.has_valid_message = True
-            self.table.message_received(
-                connection.key, connection.last_used_at, ConnectionUsage.CHECKS, bool(connection.open_requests)
-            )
-            connection.write(format_health(tag, self.healthy, self.broker.value))
-        else:
-            raise ProtocolError("unknown verb")
-
-    def _has_too_many_attempts(self, connection: Connection) -> bool:
-        """Return whether a connection has as many attempts as it may have open requests.
-
-        The run of a request that was withdrawn may go on, so that a balancer which withdraws each of its requests
-        would otherwise have the attempts of all others."""
-        ids = connection.unfinished_ids
-        if len(ids) >= MAX_OPEN_REQUESTS:
-            ids = connection.unfinished_ids = {id for id in ids if self.broker.is_open(id)}
-        return len(ids) >= MAX_OPEN_REQUESTS
+        self._messages.handle(connection, items)
 
     @property
     def healthy(self) -> bool:
@@ -349,7 +297,7 @@
         self.counters.add("balancers.connections")
         try:
             await self._read(connection, link)
-            await self._await_answers(connection, link)
+            await wait_for_answers(connection, link, self.clock.now())
             await self._flush(writer)
         finally:
             self._links.pop(key, None)
@@ -384,7 +332,7 @@
         """Process the received messages of a connection, in as many turns as they need."""
         while connection.has_unhandled_messages:
             await self._turns.take()
-            if await self._has_left(connection, link):
+            if await has_left(connection, link, self.clock.now()):
                 self.counters.add("balancers.left")
                 connection.closing = True
                 connection.has_unhandled_messages = False
@@ -394,28 +342,6 @@
             if connection.has_unhandled_messages:
                 await asyncio.sleep(0)
 
-    async def _has_left(self, connection: Connection, link: SocketLink) -> bool:
-        """Return whether no one reads the answers to further requests of a connection.
-
-        A balancer that has ended its side may still read its answers, or may have closed the connection, and the system
-        does not tell which: BYE makes the balancer's system reset a connection that is closed."""
-        state = link.peer_state
-        if state is not PeerState.ENDED or connection.has_ended_input:
-            return state is PeerState.RESET
-        connection.has_ended_input = True
-        connection.write(BYE)
-        connection.bye_sent_at = connection.bye_sent_at or self.clock.now()
-        for _ in range(LEAVE_CHECKS):
-            if link.peer_state is PeerState.RESET:
-                return True
-            await asyncio.sleep(LEAVE_CHECK_S)
-        return False
-
-    async def _await_answers(self, connection: Connection, link: SocketLink) -> None:
-        """Wait until a balancer that ended its side has an answer to each of its requests, or has left."""
-        while connection.open_requests and not await self._has_left(connection, link):
-            await asyncio.sleep(ANSWER_CHECK_S)
-
     def accept_proxied(self, connection: Connection, address: bytes) -> bool:
         """Admit the client address that a relay sent, in place of the relay's own; return False if rejected."""
         now, key = self.clock.now(), connection.key
--- a/tests/test_flooding_clients.py
+++ b/tests/test_flooding_clients.py
@@ -14,7 +14,7 @@
 from chutepin.logs import MAX_BURST_LINES, Log
 from chutepin.net.resp import Connection, RespListener, array
 from chutepin.net.resp.connection import MAX_MESSAGES_PER_TURN
-from chutepin.net.resp.listener import MAX_OPEN_REQUESTS
+from chutepin.net.resp.message_handler import MAX_OPEN_REQUESTS
 from chutepin.net.resp.turns import MAX_TURNS_PER_ITERATION, MessageTurns
 from chutepin.testbench.standins.platform import eventually
 
