Listener: calm traffic pays less for turns, limits and the peer's state

Change: a turn that is free is taken without a coroutine, a connection with little input or output passes its byte limit by one comparison, received bytes go straight to the reader, the state of an established connection needs no look-up.

--- a/chutepin/handover/connection.py
+++ b/chutepin/handover/connection.py
@@ -21,7 +21,6 @@
     def __init__(self, reader: asyncio.StreamReader, handler: ConnectionHandler | None = None) -> None:
         """Create a protocol. `handler`: called for an accepted connection."""
         super().__init__(reader, LINK_READ_BYTES, handler)
-        self._reader = reader
         self._transport_socket: socket.socket | None = None
         self._is_at_end = False
 
--- a/chutepin/net/byte_limit.py
+++ b/chutepin/net/byte_limit.py
@@ -25,6 +25,8 @@
 
         Above the total limit that is the connection with most bytes, so that one that holds much costs no other its
         place."""
+        if held <= self._min_counted and key not in self._held:
+            return None
         self._set(key, held)
         if held > self._max_each:
             return key
--- a/chutepin/net/resp/listener.py
+++ b/chutepin/net/resp/listener.py
@@ -29,7 +29,7 @@
 from ...logs import Log
 from ...memory_budget import DEFAULT_BUDGET, MemoryBudget
 from ..byte_limit import ByteLimit
-from ..streams import BoundedStreamProtocol
+from ..streams import BoundedStreamProtocol, PeerState
 from .connection import MAX_MESSAGES_PER_TURN, Connection
 from .departure import has_left, wait_for_answers
 from .message_handler import MessageHandler
@@ -321,7 +321,7 @@
                 connection.feed(data)
                 del data  # not held while the connection waits for its turns
                 await self._handle_messages(connection, link)
-                self._limit_received(connection)
+                self._limit_received(connection, link)
                 if connection.closing:  # the input was malformed
                     self._finish_writing(connection, link)
             if connection.is_behind:  # more may be buffered: `read` would not yield to the event loop
@@ -331,8 +331,9 @@
     async def _handle_messages(self, connection: Connection, link: SocketLink) -> None:
         """Process the received messages of a connection, in as many turns as they need."""
         while connection.has_unhandled_messages:
-            await self._turns.take()
-            if await has_left(connection, link, self.clock.now()):
+            if not self._turns.take():
+                await self._turns.wait()
+            if link.peer_state is not PeerState.OPEN and await has_left(connection, link, self.clock.now()):
                 self.counters.add("balancers.left")
                 connection.closing = True
                 connection.has_unhandled_messages = False
@@ -394,9 +395,9 @@
             dropped = transport if stuck == connection.key else self._links[stuck].transport
             dropped.abort()
 
-    def _limit_received(self, connection: Connection) -> None:
+    def _limit_received(self, connection: Connection, link: SocketLink) -> None:
         """Close the connection that holds most input if all connections together hold too much."""
-        excess = self._received.record(connection.key, self._received_bytes(connection.key))
+        excess = self._received.record(connection.key, connection.parser.held_bytes + link.reader.unread_bytes)
         if excess is not None:
             self.counters.add("balancers.input_limit")
             self._received.forget(excess)
--- a/chutepin/net/resp/turns.py
+++ b/chutepin/net/resp/turns.py
@@ -20,17 +20,23 @@
         self._renewed_at = 0.0  # time of the event loop
         self._waiting: deque[asyncio.Future[None]] = deque()
 
-    async def take(self) -> None:
-        """Return when the caller has a turn: at once unless many connections have messages."""
+    def take(self) -> bool:
+        """Take a turn, unless many connections have messages; return whether the caller has one."""
+        if self._waiting:
+            return False
+        now = asyncio.get_running_loop().time()
+        if now >= self._renewed_at + ITERATION_S:
+            self._renewed_at = now
+            self._left = MAX_TURNS_PER_ITERATION
+        if not self._left:
+            return False
+        self._left -= 1
+        return True
+
+    async def wait(self) -> None:
+        """Wait for a turn, after `take` gave none."""
         loop = asyncio.get_running_loop()
         if not self._waiting:
-            now = loop.time()
-            if now >= self._renewed_at + ITERATION_S:
-                self._renewed_at = now
-                self._left = MAX_TURNS_PER_ITERATION
-            if self._left:
-                self._left -= 1
-                return
             loop.call_soon(self._next_iteration)
         turn = loop.create_future()
         self._waiting.append(turn)
--- a/chutepin/net/streams.py
+++ b/chutepin/net/streams.py
@@ -15,7 +15,7 @@
 
 MAX_READ_BYTES = 16384
 LINK_READ_BYTES = 16384  # for the single link to the executor, to the AMQP broker or to the node's other process
-TCP_STATE_BYTES = 1  # the state is the first byte of `tcp_info`
+TCP_STATE_BYTES = 1
 
 ConnectionHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -30,7 +30,8 @@
         """Create a protocol. `handler`: called for an accepted connection."""
         assert read_bytes <= MAX_READ_BYTES
         super().__init__(reader, handler, loop=asyncio.get_running_loop())
-        self._read_bytes = read_bytes
+        self._reader = reader
+        self._buffer = _receive_buffer[:read_bytes]
         self._is_discarding = False
 
     def discard_input(self) -> None:
@@ -39,13 +40,13 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
-        return _receive_buffer[: self._read_bytes]
+        return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on received bytes, or drop them."""
         if self._is_discarding:
             return
-        self.data_received(bytes(_receive_buffer[:nbytes]))
+        self._reader.feed_data(self._buffer[:nbytes].tobytes())
 
 
 def stream_limit(read_bytes: int) -> int:
@@ -77,14 +78,15 @@
     RESET = 3  # nothing can be sent to the peer any more
 
 
-# States of a connection in `tcp_info`, from Linux's `include/net/tcp_states.h`.
-_PEER_STATES = {7: PeerState.RESET, 8: PeerState.ENDED}  # TCP_CLOSE, TCP_CLOSE_WAIT
+# The first byte of `tcp_info`, from Linux's `include/net/tcp_states.h`.
+_ESTABLISHED = b"\x01"
+_PEER_STATES = {b"\x07": PeerState.RESET, b"\x08": PeerState.ENDED}  # TCP_CLOSE, TCP_CLOSE_WAIT
 
 
 def peer_state(sock: Any) -> PeerState:
     """Return the state of the peer of a TCP connection. `sock`: a socket, or asyncio's wrapper of one."""
     try:
-        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_STATE_BYTES)[0]
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_STATE_BYTES)
     except OSError as error:  # the socket is closed, or the system tells no state
         return PeerState.RESET if error.errno == errno.EBADF else PeerState.OPEN
-    return _PEER_STATES.get(state, PeerState.OPEN)
+    return PeerState.OPEN if state == _ESTABLISHED else _PEER_STATES.get(state, PeerState.OPEN)
--- a/tests/test_flooding_clients.py
+++ b/tests/test_flooding_clients.py
@@ -57,7 +57,8 @@
         turns, granted = MessageTurns(), list[int]()
 
         async def take(number: int) -> None:
-            await turns.take()
+            if not turns.take():
+                await turns.wait()
             granted.append(number)
 
         tasks = [asyncio.ensure_future(take(number)) for number in range(4 * MAX_TURNS_PER_ITERATION)]
