--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -92,10 +92,15 @@
         asyncio.ensure_future(caller.ask(stack, spread_s * number / len(callers), stop))
         for number, caller in enumerate(callers)
     ]
-    await eventually(lambda: all(caller.joins for caller in callers) or any(task.done() for task in caller_tasks))
-    await asyncio.sleep(BUSY_S)
-    stop.set()
-    await asyncio.gather(*caller_tasks)
+    try:
+        await eventually(lambda: all(caller.joins for caller in callers) or any(task.done() for task in caller_tasks))
+        await asyncio.sleep(BUSY_S)
+        stop.set()
+        await asyncio.gather(*caller_tasks)
+    finally:  # after the failure of one, no other may start a node that the stack no longer ends
+        for task in caller_tasks:
+            task.cancel()
+        await asyncio.gather(*caller_tasks, return_exceptions=True)
 
 
 async def call_cold_dependency(nodes: int, spread_s: float, configured_calls: float = CALLS_PER_NODE) -> ColdDependency:
