Log what a process is told and each change of its state, with the time

`process.told` logs SIGTERM with the time at which it came, `process.state` each transition with its cause. The test of SIGUSR1 reads one line more for it.

--- a/chutepin/lifecycle.py
+++ b/chutepin/lifecycle.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
 
@@ -55,6 +56,8 @@
     def __init__(self) -> None:
         self.state = State.STARTING
         self.handed_over = False  # whether a successor was serving when the shutdown was requested
+        # Called after each transition with its cause and the previous state.
+        self.on_transition: Callable[[Transition, State], None] = lambda cause, previous: None
 
     def apply(self, transition: Transition) -> bool:
         """Make a transition; return False, without a change, if the current state does not allow it."""
@@ -63,7 +66,9 @@
             return False
         if transition is Transition.LEAVE and self.state is State.HANDING_OVER:
             self.handed_over = True
+        previous = self.state
         self.state = next_state
+        self.on_transition(transition, previous)
         return True
 
     @property
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -22,7 +22,7 @@
 from .descriptors import build_budget, count_open_descriptors
 from .handover import HandoverLink, HandoverSession, HandoverStateMachine, Rendezvous, rendezvous_path
 from .handover_host import NodeHandoverHost
-from .lifecycle import Lifecycle, Transition
+from .lifecycle import Lifecycle, State, Transition
 from .logs import Log, LogFormat
 from .loop_timer import LoopTimer
 from .memory_budget import divide_memory
@@ -91,8 +91,9 @@
         self._setup_path = setup_path
         self.clock = Clock()
         self.counters = Counters()
-        self.lifecycle = Lifecycle()
         self.log = Log(self.clock, log_format)
+        self.lifecycle = Lifecycle()
+        self.lifecycle.on_transition = self._log_transition
         # The soft limit of the system caps the number of descriptors that the configuration allows.
         self.sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.descriptors = build_budget(
@@ -310,6 +311,7 @@
 
     def _request_leave(self, at: float) -> None:
         """Record a request, made at this Unix time, to shut down; later requests have no effect."""
+        self.log.event("process.told", word="SIGTERM", at=f"{at:.3f}", state=self.lifecycle.state.value)
         if not self._leave_requested.is_set():
             self._leave_requested_at = min(at, self.clock.now())
             self._leave_requested.set()
@@ -385,6 +387,16 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self._request_leave(self.clock.now())
 
+    def _log_transition(self, cause: Transition, previous: State) -> None:
+        """Log a change of the process's state and what was told to it, with the Unix time."""
+        self.log.event(
+            "process.state",
+            cause=cause.value,
+            before=previous.value,
+            after=self.lifecycle.state.value,
+            at=f"{self.clock.now():.3f}",
+        )
+
     def _on_executor_started(self) -> None:
         """Pass the start of the executor on to the hand-over and the lifecycle."""
         if self.handover is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -117,9 +117,9 @@
         assert (await good.answer(good.call("position-push", b"x")))[0] == b"OK"
         assert world.process is not None and world.process.stderr is not None
         send_signal(world.process, signal.SIGUSR1)
-        lines = [await world.process.stderr.readline() for _ in range(2)]
-        assert lines[1].startswith(b"chutepin: counters ")
-        assert any(b"balancers." + word in lines[1] for word in (b"too_many=", b"made_room=", b"slow="))
+        lines = [await world.process.stderr.readline() for _ in range(3)]  # `serving`, `process.state`, `counters`
+        assert lines[2].startswith(b"chutepin: counters ")
+        assert any(b"balancers." + word in lines[2] for word in (b"too_many=", b"made_room=", b"slow="))
         for balancer in many:
             await balancer.close()
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import re
+import time
 from contextlib import AsyncExitStack
 
 import pytest
@@ -17,7 +19,7 @@
 from chutepin.net.control import JITTER_SHARE, REPORT_INTERVAL_S
 from chutepin.net.resp import array
 from chutepin.request_metrics import RequestMetrics
-from chutepin.testbench.standins.platform import eventually
+from chutepin.testbench.standins.platform import EVENTUALLY_TIMEOUT_S, eventually
 
 from .helper import STEPS, Core, Standins
 from .test_node import on_sockets
@@ -134,6 +136,13 @@
     return answer.decode()
 
 
+async def eventually_ready(world: Standins) -> None:
+    """Wait until the process says that it can serve. Raises TimeoutError."""
+    async with asyncio.timeout(EVENTUALLY_TIMEOUT_S):
+        while not (await call(world, b"ready\n")).startswith("SUCCESS"):
+            await asyncio.sleep(0.02)
+
+
 def test_drained_node_keeps_serving_and_resumes() -> None:
     async def test(world: Standins, stack: AsyncExitStack) -> None:
         await world.start(stack, ops=True)
@@ -239,6 +248,29 @@
     on_sockets(test)
 
 
+# Guards against an upgrade of which nobody can say afterwards what each process was told, and when.
+def test_log_tells_what_the_process_was_told_and_when() -> None:
+    async def test(world: Standins, stack: AsyncExitStack) -> None:
+        started_at = time.time()
+        await world.start(stack, ops=True)
+        await eventually_ready(world)
+        for line in (b"drain\n", b"resume\n"):
+            assert (await call(world, line)).startswith("SUCCESS")
+        log = await world.leave()
+        changes = re.findall(r"process\.state cause=(.+?) before=(.+?) after=(.+?) at=(\S+)", log)
+        assert [(cause.strip('"'), after) for cause, _, after, _ in changes] == [
+            ("can serve", "serving"),
+            ("drain", "drained"),
+            ("resume", "serving"),
+            ("leave", "leaving"),
+        ]
+        told = re.findall(r"process\.told word=SIGTERM at=(\S+) state=serving", log)
+        times = [float(at) for at in [*(change[3] for change in changes), *told]]
+        assert len(told) == 1 and started_at - 0.001 <= min(times) <= max(times) <= time.time()
+
+    on_sockets(test)
+
+
 def test_drain_under_load_changes_only_health_checks() -> None:
     async def test(world: Standins, stack: AsyncExitStack) -> None:
         await world.start(stack, ops=True)
