--- a/chutepin/admin/commands.py
+++ b/chutepin/admin/commands.py
@@ -5,7 +5,8 @@
 from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 
-from ..lifecycle import Lifecycle, Transition
+from ..lifecycle import Lifecycle
+from ..node_intent import NodeIntent
 from ..request_metrics import RequestMetrics
 from .exposition import exposition
 
@@ -45,10 +46,14 @@
         metrics: RequestMetrics,
         subsystem_commands: Mapping[str, Callable[[], str]] | None = None,
         commands_with_arguments: Mapping[str, Callable[[list[str]], Awaitable[str]]] | None = None,
+        pass_on: Callable[[NodeIntent], bool] = lambda intent: False,
     ) -> None:
-        """Initialize the table; the two mappings hold the commands of the enabled subsystems."""
+        """Initialize the table; the two mappings hold the commands of the enabled subsystems.
+
+        `pass_on`: sends what the node is told to a successor; returns whether the successor receives it."""
         self._lifecycle = lifecycle
         self._metrics = metrics
+        self._pass_on = pass_on
         self.table: dict[str, Callable[[], str]] = {
             "ready": self._ready,
             "show-stat": self._show_stat,
@@ -84,11 +89,12 @@
         return success() + exposition(self._metrics) + "EOT\n"
 
     def _drain(self) -> str:
-        return self._apply(Transition.DRAIN, "drained: health checks are bad until resume, what comes is served")
+        text = "drained: health checks are bad until resume, what comes is served"
+        return self._tell(self._lifecycle.drain, text)
 
     def _resume(self) -> str:
-        return self._apply(Transition.RESUME, "serving")
+        return self._tell(self._lifecycle.resume, "serving")
 
-    def _apply(self, transition: Transition, text: str) -> str:
+    def _tell(self, command: Callable[[Callable[[NodeIntent], bool]], bool], text: str) -> str:
         before = self._lifecycle.state.value
-        return success(text) if self._lifecycle.apply(transition) else failure(f"not now, {before}")
+        return success(text) if command(self._pass_on) else failure(f"not now, {before}")
--- a/chutepin/handover/__init__.py
+++ b/chutepin/handover/__init__.py
@@ -5,9 +5,11 @@
 
 Without I/O: `state_machine` (stages and transitions), `session` (message handling), `messages` and `frames` (message
 types and their encoding). With I/O: `rendezvous` (the Unix socket through which the processes connect), `connection`
-(streams that lose no bytes of a peer that ends) and `link` (the transport of a session). The node is accessed through
+(streams that lose no bytes of a peer that ends), `intent_file` (what the node was told, for a process that outlives the
+one that was told) and `link` (the transport of a session). The node is accessed through
 the port `HandoverHost`. `docs/operation.md` describes the design and prints the transition table."""
 
+from .intent_file import IntentFile
 from .link import HandoverLink
 from .messages import ProcessUsage
 from .rendezvous import Rendezvous, rendezvous_path
@@ -20,6 +22,7 @@
     "HandoverLink",
     "HandoverSession",
     "HandoverStateMachine",
+    "IntentFile",
     "ProcessUsage",
     "Rendezvous",
     "Stage",
--- a/chutepin/handover/fields.py
+++ b/chutepin/handover/fields.py
@@ -50,6 +50,13 @@
             raise self._error(name)
         return tuple(values)
 
+    def mapping(self, name: str) -> dict[str, Any]:
+        """Return a JSON object, whose values are not checked."""
+        value = self._value(name)
+        if not isinstance(value, dict):
+            raise self._error(name)
+        return value
+
     def optional_text(self, name: str) -> str | None:
         """Return a text, or None if the field is null."""
         return None if self._value(name) is None else self.text(name)
--- a/chutepin/handover/frames.py
+++ b/chutepin/handover/frames.py
@@ -12,6 +12,7 @@
 from ..facade import End
 from ..idempotency import IdempotencyRecord, KeyRequest
 from ..net.lines import LineParser, line
+from ..node_intent import NodeIntent
 from .fields import Fields
 from .fields import MalformedFrameError as MalformedFrameError
 from .learned import check_learned
@@ -160,7 +161,7 @@
 
 
 def _encode_usage(usage: ProcessUsage) -> bytes:
-    """Return the frame of a usage. Peers of earlier versions ignore the field of started runs."""
+    """Return the frame of a usage. Peers of earlier versions ignore the fields of started runs and of the intent."""
     values: dict[str, object] = {
         "running": usage.running,
         "memory": usage.memory_kb,
@@ -168,9 +169,33 @@
     }
     if usage.started_ids:
         values["runs"] = usage.started_ids
+    if usage.intent is not None:
+        values["intent"] = encode_intent(usage.intent)
     return encode_frame("USE", **values)
 
 
+def encode_intent(intent: NodeIntent) -> dict[str, object]:
+    """Return the JSON values of what the node was told."""
+    return {"sequence": intent.sequence, "drained": intent.is_drained}
+
+
+def decode_intent(values: dict[str, Any]) -> NodeIntent:
+    """Return what the node was told from its JSON values. Raises MalformedFrameError."""
+    fields = Fields("intent", values)
+    return NodeIntent(fields.count("sequence"), fields.flag("drained"))
+
+
+def _decode_usage(fields: Fields, values: dict[str, Any]) -> ProcessUsage:
+    """Return a usage; peers of earlier versions omit the started runs and the intent."""
+    return ProcessUsage(
+        fields.count("running"),
+        fields.number("memory"),
+        fields.count("descriptors"),
+        fields.texts("runs", MAX_STARTED_IDS) if "runs" in values else (),
+        decode_intent(fields.mapping("intent")) if "intent" in values else None,
+    )
+
+
 def decode(frame: Frame) -> Message:  # noqa: C901  one case per verb
     """Return the message of a frame. Raises MalformedFrameError."""
     fields = Fields(frame.verb, frame.fields)
@@ -180,12 +205,7 @@
         case "DROP":
             return KeyRemoved(fields.text("key"))
         case "USE":
-            return ProcessUsage(
-                fields.count("running"),
-                fields.number("memory"),
-                fields.count("descriptors"),
-                fields.texts("runs", MAX_STARTED_IDS) if "runs" in frame.fields else (),
-            )
+            return _decode_usage(fields, frame.fields)
         case "ASK":
             return KeyRequest(
                 fields.text("id"), fields.text("key"), fields.fingerprint("contents"), fields.number("until")
--- a/chutepin/handover/link.py
+++ b/chutepin/handover/link.py
@@ -79,6 +79,7 @@
             if self._stage is not Stage.DISCONNECTED or self._last_iteration_at <= checked_at + RETRY_DELAY_S:
                 continue
             checked_at = self._last_iteration_at
+            self.session.recall_intent()
             if not self._rendezvous.has_listener():
                 self.session.peer_ended()
                 await self._listen()
@@ -113,6 +114,7 @@
         self._writer = writer
         self.session.send = send
         self._unsent_since = None
+        self.session.send_usage()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -132,6 +134,7 @@
     async def _take_over(self) -> None:
         """Retry until the predecessor has handed over or ended; serve beside it while uncoordinated."""
         while True:
+            self.session.recall_intent()
             await self._try_take_over()
             if self._stage in (Stage.TAKEN_OVER, Stage.ALONE):
                 return
--- a/chutepin/handover/messages.py
+++ b/chutepin/handover/messages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ..idempotency import IdempotencyRecord, KeyRequest
+from ..node_intent import NodeIntent
 
 
 class Hello(NamedTuple):
@@ -60,12 +61,13 @@
 
 
 class ProcessUsage(NamedTuple):
-    """From either process: the share of the node's limits that the sender uses."""
+    """From either process: the share of the node's limits that the sender uses, and what the node was told."""
 
     running: int
     memory_kb: float
     descriptors: int
     started_ids: tuple[str, ...] = ()  # requests that the sender has run, and had not told of before
+    intent: NodeIntent | None = None  # None from a peer of an earlier version, which does not say
 
 
 class KeyReply(NamedTuple):
--- a/chutepin/handover/session.py
+++ b/chutepin/handover/session.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from ..counters import Counters
 from ..idempotency import IdempotencyRecord, KeyOwnership, KeyRequest
+from ..node_intent import NodeIntent
 from .fields import MalformedFrameError
 from .frames import MAX_STARTED_IDS, Frame, decode, encode, encode_record
 from .messages import (
@@ -76,6 +77,15 @@
     def set_peer_usage(self, usage: ProcessUsage) -> None:
         """Deduct the usage of the peer process from this process's limits."""
 
+    def peer_told(self, intent: NodeIntent) -> None:
+        """Apply what the node was told at the peer process."""
+
+    def recall_intent(self) -> None:
+        """Apply what the node was told at a process that may have ended before it could tell its peer."""
+
+    def forget_intent(self) -> None:
+        """Discard what is kept of the intent: a peer of an earlier version serves and does not keep it up to date."""
+
     def yield_ownership(self) -> None:
         """Stop accepting and finish open requests, since the successor serves."""
 
@@ -98,6 +108,7 @@
         self.send: Callable[[bytes], Delivery] | None = None  # None without a link
         self._is_executor_ready = False
         self._are_keys_sent = False  # whether every record has been sent to the successor
+        self._has_peer_sent_intent = False  # a peer of an earlier version does not, and ignores the intent it receives
 
     # The broker's `PeerProcess`, and `IdempotencyTable.replicate`:
 
@@ -133,6 +144,16 @@
         """Send the usage of this process; return whether the kernel accepted the message."""
         return self._send(self._host.usage())
 
+    def pass_on(self, intent: NodeIntent) -> bool:
+        """Send what the node is told to the successor that serves; return whether the successor receives it."""
+        if self.send is None or not self._has_peer_sent_intent or self.machine.stage is not Stage.YIELDED:
+            return False
+        return self._send(self._host.usage()._replace(intent=intent))
+
+    def recall_intent(self) -> None:
+        """Apply what the node was told at a process to which there is no link."""
+        self._host.recall_intent()
+
     def receive(self, frame: Frame) -> None:
         """Process a frame of the peer. Raises ProtocolError."""
         now = self._clock.now()
@@ -171,6 +192,7 @@
             case ProcessUsage():
                 self._host.set_peer_usage(message)
                 self._host.peer_runs_started(message.started_ids)
+                self._apply_intent(message.intent)
             case KeyRequest():
                 is_granted = self._host.peer_requests_key(message)
                 self._send(KeyReply(message.request_id, message.key, is_granted))
@@ -186,6 +208,11 @@
             case _:
                 pass  # the remaining messages only change the stage
 
+    def _apply_intent(self, intent: NodeIntent | None) -> None:
+        if intent is not None:
+            self._has_peer_sent_intent = True
+            self._host.peer_told(intent)
+
     # Successor:
 
     def executor_ready(self) -> None:
@@ -206,6 +233,7 @@
         """Process the end of the link to the predecessor. `are_frames_lost`: frames were sent that cannot be read."""
         now = self._clock.now()
         self._end_link()
+        self._host.recall_intent()
         self.machine.predecessor_lost(now, is_alive)
         if are_frames_lost:  # one of them may claim the run of a key that this process knows as reserved
             self.machine.put_keys_in_doubt(now)
@@ -239,7 +267,10 @@
         if not self.machine.apply(Event.TAKEOVER_REQUESTED, self._clock.now()):
             return
         self._counters.add("handover.yielded")
+        if not self._has_peer_sent_intent:
+            self._host.forget_intent()
         self._host.yield_ownership()
+        self.send_usage()  # with what the node was told, before the successor serves
         self._send(LearnedStatistics(self._host.learned_statistics()))
         self._send(TakeoverGranted())
 
@@ -250,6 +281,7 @@
         now = self._clock.now()
         has_yielded = self.machine.stage is Stage.YIELDED
         self._end_link()
+        self._host.recall_intent()
         self.machine.successor_lost(now, has_yielded and is_alive, loop_stalled_s)
         if not has_yielded:
             return
@@ -264,6 +296,7 @@
     def peer_ended(self) -> None:
         """Process the end of a peer process that had no link to this process."""
         was_disconnected = self.machine.stage is Stage.DISCONNECTED
+        self._host.recall_intent()
         self.machine.apply(Event.PEER_ENDED, self._clock.now())
         if was_disconnected:
             self._host.resume_ownership()
@@ -273,4 +306,5 @@
 
     def _end_link(self) -> None:
         self.send = None
+        self._has_peer_sent_intent = False
         self._host.set_peer_usage(NO_USAGE)
--- a/chutepin/handover_host.py
+++ b/chutepin/handover_host.py
@@ -6,10 +6,12 @@
 
 from .admission import DescriptorBudget
 from .broker import Broker
-from .handover import ProcessUsage
+from .handover import IntentFile, ProcessUsage
 from .idempotency import IdempotencyRecord, KeyRequest
-from .lifecycle import Lifecycle, Transition
+from .lifecycle import Event, Lifecycle
+from .logs import Log
 from .net.resp import RespListener
+from .node_intent import NodeIntent
 from .subsystem import Subsystem
 
 
@@ -22,6 +24,8 @@
         front: RespListener,
         subsystems: Sequence[Subsystem],
         lifecycle: Lifecycle,
+        intent_file: IntentFile,
+        log: Log,
         descriptors: DescriptorBudget,
         max_descriptors: int,
     ) -> None:
@@ -30,6 +34,8 @@
         self._front = front
         self._subsystems = subsystems
         self._lifecycle = lifecycle
+        self._intent_file = intent_file
+        self._log = log
         self._descriptors = descriptors
         self._max_descriptors = max_descriptors
 
@@ -78,26 +84,43 @@
         self._broker.peer_exchange.adopt(statistics)
 
     def usage(self) -> ProcessUsage:
-        """Return the share of the node's limits that this process uses: runs, memory and descriptors."""
+        """Return the share of the node's limits that this process uses: runs, memory and descriptors.
+
+        The usage also says what the node was told."""
         running, memory_kb = self._broker.peer_exchange.usage
         descriptors = self._descriptors.in_use + self._descriptors.unattributed
-        return ProcessUsage(running, memory_kb, descriptors)
+        return ProcessUsage(running, memory_kb, descriptors, intent=self._lifecycle.intent)
 
     def set_peer_usage(self, usage: ProcessUsage) -> None:
         """Deduct the usage of the peer process from this process's limits."""
         self._descriptors.limit = self._max_descriptors - usage.descriptors
         self._broker.peer_exchange.set_peer_usage(usage.running, usage.memory_kb)
 
+    def peer_told(self, intent: NodeIntent) -> None:
+        """Apply what the node was told at the peer process."""
+        self._lifecycle.merge(intent)
+
+    def recall_intent(self) -> None:
+        """Apply what the node was told at a process that may have ended before it could tell its peer."""
+        self._lifecycle.merge(self._intent_file.load())
+
+    def forget_intent(self) -> None:
+        """Discard what is kept of the intent: a peer of an earlier version serves and does not keep it up to date."""
+        self._log.event("handover.peer_without_intent", state=self._lifecycle.state.value)
+        self._intent_file.remove()
+
     def yield_ownership(self) -> None:
         """Stop accepting and finish open requests, since the successor serves."""
-        self._lifecycle.apply(Transition.SUCCESSOR_READY)
+        self._lifecycle.apply(Event.SUCCESSOR_SERVES)
         self._front.yield_ownership()
         for subsystem in self._subsystems:
             subsystem.yield_ownership()
 
     def resume_ownership(self) -> None:
         """Accept again after the end of the successor."""
-        self._lifecycle.apply(Transition.SUCCESSOR_LOST)
+        self._lifecycle.apply(Event.SUCCESSOR_LOST)
+        if self._broker.started:
+            self._lifecycle.apply(Event.CAN_SERVE)
         self._front.resume_ownership()
         for subsystem in self._subsystems:
             subsystem.resume_ownership()
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -20,9 +20,16 @@
 from .config import AdmissionSetup, AmqpConfig, Config, ConfigError, Setup, StoreSetup, load, load_setup
 from .counters import Counters
 from .descriptors import build_budget, count_open_descriptors
-from .handover import HandoverLink, HandoverSession, HandoverStateMachine, Rendezvous, rendezvous_path
+from .handover import (
+    HandoverLink,
+    HandoverSession,
+    HandoverStateMachine,
+    IntentFile,
+    Rendezvous,
+    rendezvous_path,
+)
 from .handover_host import NodeHandoverHost
-from .lifecycle import Lifecycle, State, Transition
+from .lifecycle import Event, Lifecycle, State
 from .logs import Log, LogFormat
 from .loop_timer import LoopTimer
 from .memory_budget import divide_memory
@@ -115,12 +122,12 @@
         if self.setup.store is not None:  # the store's modules are imported only if the operator's file has the block
             self.store = _open_store(self.setup.store, self.clock, self.log)
         self.subsystems = build_subsystems(config, self.setup, self.descriptors, self.counters, self.log, self.store)
-        self.listener = self._build_listener() if config.ops is not None else None
         self.consumer = self._build_consumer(amqp) if amqp is not None else None
         self.recorder = self._build_recorder(record) if record is not None else None
         self.source = self._build_source(read) if read is not None else None
         directory = os.environ.get("TMPDIR")
         self.handover = self._build_handover(directory, amqp) if directory else None
+        self.listener = self._build_listener() if config.ops is not None else None
         self._is_serving = False
         self.reporter = Reporter(config.control, config.name, self._ready, self.counters, config.seed)
         self._leave_requested = asyncio.Event()
@@ -195,7 +202,12 @@
             for subsystem in self.subsystems
             for name, command in subsystem.commands_with_arguments().items()
         }
-        table = CommandTable(self.lifecycle, self.broker.metrics, commands, with_arguments)
+        metrics = self.broker.metrics
+        if self.handover is None:
+            table = CommandTable(self.lifecycle, metrics, commands, with_arguments)
+        else:
+            pass_on = self.handover.session.pass_on
+            table = CommandTable(self.lifecycle, metrics, commands, with_arguments, pass_on)
         return OperatorListener(table, self.descriptors, self.counters, self.log)
 
     def _build_consumer(self, amqp: AmqpConfig) -> Consumer:
@@ -225,8 +237,16 @@
         if amqp is not None:  # the key of a delivery is kept for the redelivery window
             window = max(window, amqp.redelivery_window)
         path = rendezvous_path(directory, config.name, f"{config.listen.host}:{config.listen.port}")
+        intent_file = IntentFile(path, self.log)
         host = NodeHandoverHost(
-            self.broker, self.front, self.subsystems, self.lifecycle, self.descriptors, self.sockets
+            self.broker,
+            self.front,
+            self.subsystems,
+            self.lifecycle,
+            intent_file,
+            self.log,
+            self.descriptors,
+            self.sockets,
         )
         session = HandoverSession(host, HandoverStateMachine(window), self.clock, self.counters)
         self.broker.peer = session
@@ -234,6 +254,16 @@
         self.broker.recent_runs.announce = session.run_started
         link = HandoverLink(Rendezvous(path), session, self._listening_sockets, self.clock, self.counters, self.log)
         link.start_serving = self._serve
+        if link.has_predecessor:
+            self.lifecycle.apply(Event.PREDECESSOR_FOUND)
+        else:
+            intent_file.remove()
+
+        def announce_intent() -> None:
+            intent_file.store(self.lifecycle.intent)
+            session.send_usage()
+
+        self.lifecycle.on_intent_changed = announce_intent
         return link
 
     def print_counters(self) -> None:
@@ -387,7 +417,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self._request_leave(self.clock.now())
 
-    def _log_transition(self, cause: Transition, previous: State) -> None:
+    def _log_transition(self, cause: Event, previous: State) -> None:
         """Log a change of the process's state and what was told to it, with the Unix time."""
         self.log.event(
             "process.state",
@@ -402,7 +432,7 @@
         if self.handover is not None:
             self.handover.session.executor_ready()
         if self._is_serving:
-            self.lifecycle.apply(Transition.CAN_SERVE)
+            self.lifecycle.apply(Event.CAN_SERVE)
 
     async def _serve(self) -> None:
         """Accept connections of balancers, on the sockets that a predecessor passed if there are any.
@@ -431,10 +461,11 @@
             self.log.event(
                 "serving", name=self.config.name, listen=f"{self.config.listen.host}:{self.config.listen.port}"
             )
+            self.lifecycle.apply(Event.ACCEPTING)
             for subsystem in self.subsystems:
                 subsystem.start()
         if self.broker.started:
-            self.lifecycle.apply(Transition.CAN_SERVE)
+            self.lifecycle.apply(Event.CAN_SERVE)
 
     def _listening_sockets(self) -> list[socket.socket]:
         """Return the listening sockets to pass to a successor."""
@@ -461,7 +492,7 @@
         await self.reporter.run()
 
     def _ready(self) -> bool:
-        return self.front.healthy and (self.lifecycle.handed_over or not self._leave_requested.is_set())
+        return self.front.healthy
 
     def _log_error(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         """Count and log an unhandled error of the event loop, so that an error in one connection ends no other."""
@@ -497,8 +528,8 @@
 
         The wait ends at the stop time at the latest."""
         self.log.event("leaving")
-        self.lifecycle.apply(Transition.LEAVE)
-        if self.lifecycle.handed_over:
+        self.lifecycle.apply(Event.SIGTERM)
+        if self.lifecycle.is_ending:
             await self._finish()
             return
         for subsystem in self.subsystems:
--- a/tests/test_handover_session.py
+++ b/tests/test_handover_session.py
@@ -17,6 +17,7 @@
 from chutepin.handover.frames import Frame, FrameReader, MalformedFrameError, encode_frame
 from chutepin.handover.state_machine import Event
 from chutepin.idempotency import IdempotencyRecord
+from chutepin.node_intent import NodeIntent
 
 from .helper import STEPS, WINDOW, Core
 
@@ -29,6 +30,7 @@
         self.kernel_buffer: deque[bytes] = deque()  # accepted by the kernel, not read by the peer
         self.process_buffer: deque[bytes] = deque()  # lost if this process is killed
         self.is_alive, self.is_accepting = True, False
+        self.intent = NodeIntent()
         broker = self.core.broker
         self.peer_record_changed = broker.peer_exchange.peer_record_changed
         self.peer_key_removed = broker.peer_exchange.peer_key_removed
@@ -53,11 +55,18 @@
         return self.core.broker.keys.records.get(record.key) is record
 
     def usage(self) -> ProcessUsage:
-        return ProcessUsage(*self.core.broker.peer_exchange.usage, 10)
+        return ProcessUsage(*self.core.broker.peer_exchange.usage, 10, intent=self.intent)
 
     def set_peer_usage(self, usage: ProcessUsage) -> None:
         self.core.broker.peer_exchange.set_peer_usage(usage.running, usage.memory_kb)
 
+    def peer_told(self, intent: NodeIntent) -> None:
+        self.intent = self.intent.merged_with(intent)
+
+    def recall_intent(self) -> None: ...
+
+    def forget_intent(self) -> None: ...
+
     def yield_ownership(self) -> None:
         self.is_accepting = False
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -15,7 +15,7 @@
 from chutepin.admin.commands import CommandTable
 from chutepin.admin.exposition import exposition
 from chutepin.admin.line_reader import MAX_LINE_BYTES, InvalidLineError, LineReader
-from chutepin.lifecycle import TRANSITIONS, Lifecycle, State, Transition
+from chutepin.lifecycle import TRANSITIONS, Event, Lifecycle, State
 from chutepin.net.control import JITTER_SHARE, REPORT_INTERVAL_S
 from chutepin.net.resp import array
 from chutepin.request_metrics import RequestMetrics
@@ -52,21 +52,32 @@
         LineReader().feed(data)
 
 
-def test_each_command_has_answer_in_each_state() -> None:
+@pytest.mark.parametrize("is_received", [False, True], ids=["not received by the successor", "received"])
+def test_each_command_has_answer_in_each_state(is_received: bool) -> None:
+    passed_on = "FSS" if is_received else "FFF"
     expected = {
+        State.STANDBY: "FFF",
+        State.STANDBY_DRAINED: "FFF",
         State.STARTING: "FFF",
+        State.STARTING_DRAINED: "FFF",
         State.SERVING: "SSS",
         State.DRAINED: "SSS",
-        State.HANDING_OVER: "FFF",
+        State.HANDED_OVER: passed_on,
+        State.HANDED_OVER_DRAINED: passed_on,
+        State.ENDING: passed_on,
+        State.ENDING_DRAINED: passed_on,
         State.LEAVING: "FFF",
     }
+    assert set(expected) == set(State)
     for state, answers in expected.items():
         for name, mark in zip(("ready", "drain", "resume"), answers, strict=True):
             lifecycle = Lifecycle()
             lifecycle.state = state
-            answer = CommandTable(lifecycle, RequestMetrics(())).answer(name)
+            table = CommandTable(lifecycle, RequestMetrics(()), pass_on=lambda intent: is_received)
+            answer = table.answer(name)
             assert isinstance(answer, str)
             assert answer[0] == mark and answer.endswith("\n") and answer.count("\n") == 1, (state, name)
+            assert mark == "S" or lifecycle.state is state
     table = CommandTable(Lifecycle(), RequestMetrics(()))
     for line, why in (
         ("reboot", "no such call"),
@@ -80,18 +91,18 @@
 def test_drain_fails_health_until_resume_and_leaving_is_final() -> None:
     lifecycle = Lifecycle()
     for move, healthy in (
-        (Transition.CAN_SERVE, True),
-        (Transition.DRAIN, False),
-        (Transition.DRAIN, False),
-        (Transition.RESUME, True),
+        (Event.CAN_SERVE, True),
+        (Event.DRAIN, False),
+        (Event.DRAIN, False),
+        (Event.RESUME, True),
     ):
         assert lifecycle.apply(move) and lifecycle.healthy is healthy and lifecycle.can_serve
-    assert lifecycle.apply(Transition.LEAVE) and not lifecycle.handed_over
-    assert not any(lifecycle.apply(other) for other in Transition if other is not Transition.LEAVE)
+    assert lifecycle.apply(Event.SIGTERM) and not lifecycle.is_ending
+    assert not any(lifecycle.apply(other) for other in Event if other is not Event.SIGTERM)
     assert set(TRANSITIONS) == set(State)
     old = Lifecycle()
-    assert all(old.apply(step) for step in (Transition.CAN_SERVE, Transition.SUCCESSOR_READY, Transition.LEAVE))
-    assert old.handed_over and old.healthy
+    assert all(old.apply(step) for step in (Event.CAN_SERVE, Event.SUCCESSOR_SERVES, Event.SIGTERM))
+    assert old.is_ending and old.healthy
 
 
 def test_metrics_list_each_class_from_start_with_escaped_labels() -> None:
@@ -262,7 +273,7 @@
             ("can serve", "serving"),
             ("drain", "drained"),
             ("resume", "serving"),
-            ("leave", "leaving"),
+            ("SIGTERM", "leaving"),
         ]
         told = re.findall(r"process\.told word=SIGTERM at=(\S+) state=serving", log)
         times = [float(at) for at in [*(change[3] for change in changes), *told]]
