Node: the end of a process in a module of its own

shutdown.py has the drain and the finish of a process, as they were in node.py; nothing else changes.

--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -39,6 +39,7 @@
 from .net.resp import RespListener
 from .net.resp.listener import SWEEP_INTERVAL_S, max_balancer_connections
 from .registry import build_subsystems
+from .shutdown import Shutdown
 
 if TYPE_CHECKING:
     from .admin import OperatorListener
@@ -46,10 +47,7 @@
     from .pcap import Recorder, Source
     from .store import Store
 
-STOP_MARGIN_S = 0.15  # every request is answered this long before the process is stopped
-MAX_DEADLINE_S = 3.0  # cap on the longest class deadline that a shutdown after a hand-over waits for
-FINISH_MARGIN_S = 0.7  # added to that deadline to get the stop after a hand-over
-POLL_INTERVAL_S = 0.01  # between checks for requests that still await an answer
+REPLAY_POLL_INTERVAL_S = 0.01  # between checks for the executor's start and for requests that await an answer
 MAX_TOP_ADDRESSES = 10  # addresses, and as many blocks, that SIGUSR1 logs
 SWEEPS_PER_RECONCILIATION = 8  # sweeps from one count of the open descriptors to the next
 
@@ -130,8 +128,16 @@
         self.listener = self._build_listener() if config.ops is not None else None
         self._is_serving = False
         self.reporter = Reporter(config.control, config.name, self._ready, self.counters, config.seed)
-        self._leave_requested = asyncio.Event()
-        self._leave_requested_at = 0.0  # Unix time of the request to shut down
+        self.shutdown = Shutdown(
+            config,
+            self.clock,
+            self.log,
+            self.lifecycle,
+            self.broker,
+            self.front,
+            self.subsystems,
+            self.consumer,
+        )
 
     def _build_session(self) -> Session:
         """Build the executor session, which outlives single connections to the executor."""
@@ -339,12 +345,10 @@
             self.front.apply(build_rules(setup.admission))
         self.setup = dataclasses.replace(self.setup, admission=setup.admission)
 
-    def _request_leave(self, at: float) -> None:
-        """Record a request, made at this Unix time, to shut down; later requests have no effect."""
+    def _terminate(self, at: float) -> None:
+        """Handle SIGTERM, which came at this Unix time."""
         self.log.event("process.told", word="SIGTERM", at=f"{at:.3f}", state=self.lifecycle.state.value)
-        if not self._leave_requested.is_set():
-            self._leave_requested_at = min(at, self.clock.now())
-            self._leave_requested.set()
+        self.shutdown.request(at)
 
     async def run(self) -> int:
         """Serve until a shutdown is requested, drain, and return the exit code."""
@@ -353,7 +357,7 @@
         with signals.deliver(
             loop,
             {
-                signal.SIGTERM: self._request_leave,
+                signal.SIGTERM: self._terminate,
                 signal.SIGUSR1: lambda at: self.print_state(),
                 signal.SIGHUP: lambda at: self.reload(),
             },
@@ -385,8 +389,7 @@
             coroutines.append(self._replay_file(self.source))
         tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
         self.broker.tick()
-        await self._leave_requested.wait()
-        await self._leave()
+        await self.shutdown.run()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -410,12 +413,12 @@
     async def _replay_file(self, source: Source) -> None:
         """Replay a pcap file once the executor has started, then request the shutdown."""
         while not self.broker.started:
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await asyncio.sleep(REPLAY_POLL_INTERVAL_S)
         await source.run()
         self.log.event("pcap.read", **dataclasses.asdict(source.report))
         while self.broker.awaiting_response_count:
-            await asyncio.sleep(POLL_INTERVAL_S)
-        self._request_leave(self.clock.now())
+            await asyncio.sleep(REPLAY_POLL_INTERVAL_S)
+        self.shutdown.request(self.clock.now())
 
     def _log_transition(self, cause: Event, previous: State) -> None:
         """Log a change of the process's state and what was told to it, with the Unix time."""
@@ -522,44 +525,3 @@
             self.front.close_idle()
             self.front.close_finished_replays()
             self.records.close_idle()
-
-    async def _leave(self) -> None:
-        """Drain: serve through the grace period, ask balancers to close, and wait for open requests and connections.
-
-        The wait ends at the stop time at the latest."""
-        self.log.event("leaving")
-        self.lifecycle.apply(Event.SIGTERM)
-        if self.lifecycle.is_ending:
-            await self._finish()
-            return
-        for subsystem in self.subsystems:
-            subsystem.leave()
-        stop = self._leave_requested_at + self.config.stop - STOP_MARGIN_S
-        self.broker.drain(stop, self._leave_requested_at)
-        if self.consumer is not None:
-            self.consumer.leave()
-        grace = self.broker.last_arrival or stop
-        while self.clock.now() < min(grace, stop):
-            await asyncio.sleep(2 * POLL_INTERVAL_S)
-        self.front.leave()
-        while self.clock.now() < stop + STOP_MARGIN_S / 3 and (
-            self.broker.awaiting_response_count
-            or self.front.connections
-            or (self.consumer is not None and not self.consumer.settled)
-        ):
-            await asyncio.sleep(POLL_INTERVAL_S)
-
-    async def _finish(self) -> None:
-        """Finish the open attempts and connections of this process, without a drain: a successor serves."""
-        longest = max((cls.deadline for cls in self.config.settings.classes), default=MAX_DEADLINE_S)
-        stop = self._leave_requested_at + min(longest, MAX_DEADLINE_S) + FINISH_MARGIN_S - STOP_MARGIN_S
-        self.broker.finish(stop)
-        if self.consumer is not None:
-            self.consumer.leave()
-        self.front.yield_ownership()
-        while self.clock.now() < stop + STOP_MARGIN_S / 3 and (
-            self.broker.has_open_attempts
-            or self.front.connections
-            or (self.consumer is not None and not self.consumer.settled)
-        ):
-            await asyncio.sleep(POLL_INTERVAL_S)
