--- a/chutepin/handover/fields.py
+++ b/chutepin/handover/fields.py
@@ -75,6 +75,10 @@
             raise self._error(name)
         return float(value)
 
+    def optional_number(self, name: str) -> float | None:
+        """Return a number from 0 to MAX_NUMBER, or None if the field is null."""
+        return None if self._value(name) is None else self.number(name)
+
     def flag(self, name: str) -> bool:
         """Return a boolean."""
         value = self._value(name)
--- a/chutepin/handover/frames.py
+++ b/chutepin/handover/frames.py
@@ -142,7 +142,9 @@
             return encode_frame("ASK", id=request_id, key=key, contents=fingerprint.hex(), until=expires_at)
         case KeyReply(request_id, key, is_granted):
             return encode_frame("TOLD", id=request_id, key=key, may=is_granted)
-        case Hello(version):
+        case Hello(version, is_serving):
+            if is_serving:
+                return encode_frame("HELLO", version=version, serving=True)
             return encode_frame("HELLO", version=version)
         case HandoverAccepted(version):
             return encode_frame("HERE", version=version)
@@ -176,13 +178,13 @@
 
 def encode_intent(intent: NodeIntent) -> dict[str, object]:
     """Return the JSON values of what the node was told."""
-    return {"sequence": intent.sequence, "drained": intent.is_drained}
+    return {"sequence": intent.sequence, "drained": intent.is_drained, "left_at": intent.left_at}
 
 
 def decode_intent(values: dict[str, Any]) -> NodeIntent:
     """Return what the node was told from its JSON values. Raises MalformedFrameError."""
     fields = Fields("intent", values)
-    return NodeIntent(fields.count("sequence"), fields.flag("drained"))
+    return NodeIntent(fields.count("sequence"), fields.flag("drained"), fields.optional_number("left_at"))
 
 
 def _decode_usage(fields: Fields, values: dict[str, Any]) -> ProcessUsage:
@@ -221,7 +223,7 @@
         case "YOURS":
             return TakeoverGranted()
         case "HELLO":
-            return Hello(fields.count("version"))
+            return Hello(fields.count("version"), fields.flag("serving") if "serving" in frame.fields else False)
         case "HERE":
             return HandoverAccepted(fields.count("version"))
         case "NO":
--- a/chutepin/handover/link.py
+++ b/chutepin/handover/link.py
@@ -53,6 +53,7 @@
         self._writer: asyncio.StreamWriter | None = None
         self._unsent_since: float | None = None
         self._last_iteration_at = clock.now()  # of the event loop
+        self._is_serving = False  # whether this process serves beside a predecessor that has not handed over
         self._is_closing = False
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -69,6 +70,7 @@
             if self._writer is not None:
                 self._writer.close()  # buffered data is still sent while the event loop runs
             self._rendezvous.close()
+            self.session.close()
 
     async def _supervise(self) -> None:
         """Report usage periodically, and resume service when a disconnected successor has ended."""
@@ -81,7 +83,7 @@
             checked_at = self._last_iteration_at
             self.session.recall_intent()
             if not self._rendezvous.has_listener():
-                self.session.peer_ended()
+                self.session.peer_ended(has_left=self._rendezvous.is_removed())
                 await self._listen()
 
     @property
@@ -114,7 +116,7 @@
         self._writer = writer
         self.session.send = send
         self._unsent_since = None
-        self.session.send_usage()
+        self.session.link_opened()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -140,6 +142,7 @@
                 return
             if self._stage is Stage.UNCOORDINATED:
                 await self.start_serving()
+                self._is_serving = True
             await asyncio.sleep(RETRY_DELAY_S)
             if not self._rendezvous.has_listener():
                 self.session.peer_ended()
@@ -153,7 +156,7 @@
         sock.setblocking(False)
         try:
             self._rendezvous.connect(sock)
-            await loop.sock_sendall(sock, encode(Hello(PROTOCOL_VERSION)))
+            await loop.sock_sendall(sock, encode(Hello(PROTOCOL_VERSION, self._is_serving)))
         except OSError:
             sock.close()
             return
@@ -261,8 +264,10 @@
         if not is_compatible_hello(frame):
             writer.write(encode(Rejection("another version", version=PROTOCOL_VERSION)))
             return False
-        if not self.session.accept_successor():
-            writer.write(encode(Rejection("another successor", is_busy=True)))
+        hello = decode(frame)
+        assert isinstance(hello, Hello)
+        if not self.session.accept_successor(hello.is_serving):
+            writer.write(encode(Rejection("another successor, or the node is leaving", is_busy=True)))
             return False
         self._counters.add("handover.successors")
         self._log.event("handover.successor_connected")
@@ -297,7 +302,7 @@
         # process as dead. A successor that serves has replaced the socket file with its own.
         is_alive = not self._rendezvous.owns_path() and self._rendezvous.has_listener()
         loop_stalled_s = self._clock.now() - self._last_iteration_at
-        self.session.successor_lost(is_alive, loop_stalled_s, are_frames_lost)
+        self.session.successor_lost(is_alive, loop_stalled_s, are_frames_lost, self._rendezvous.is_removed())
         self._log.event("handover.successor_lost", stage=self._stage.value)
         if self._stage is Stage.ALONE and not self._rendezvous.owns_path():
             await self._listen()
--- a/chutepin/handover/messages.py
+++ b/chutepin/handover/messages.py
@@ -12,6 +12,7 @@
     """From the successor: request a hand-over."""
 
     version: int
+    is_serving: bool = False  # whether the successor serves already, since the predecessor did not answer
 
 
 class HandoverAccepted(NamedTuple):
--- a/chutepin/handover/rendezvous.py
+++ b/chutepin/handover/rendezvous.py
@@ -77,6 +77,10 @@
         self._inode = os.stat(temporary_path).st_ino
         os.replace(temporary_path, self.path)
 
+    def is_removed(self) -> bool:
+        """Return whether there is no file at the path: the last process that listened has ended in order."""
+        return not os.path.lexists(self.path)
+
     def owns_path(self) -> bool:
         """Return whether the file at the path was created by this process."""
         try:
--- a/chutepin/handover/session.py
+++ b/chutepin/handover/session.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from ..counters import Counters
 from ..idempotency import IdempotencyRecord, KeyOwnership, KeyRequest
+from ..lifecycle import Peer
 from ..node_intent import NodeIntent
 from .fields import MalformedFrameError
 from .frames import MAX_STARTED_IDS, Frame, decode, encode, encode_record
@@ -21,10 +22,11 @@
     Message,
     ProcessUsage,
     RecordChanged,
+    Rejection,
     TakeoverGranted,
     TakeoverRequest,
 )
-from .state_machine import Event, HandoverStateMachine, Stage
+from .state_machine import PREDECESSOR_STAGES, Event, HandoverStateMachine, Stage
 
 
 class Delivery(Enum):
@@ -77,14 +79,26 @@
     def set_peer_usage(self, usage: ProcessUsage) -> None:
         """Deduct the usage of the peer process from this process's limits."""
 
-    def peer_told(self, intent: NodeIntent) -> None:
+    def is_leaving(self) -> bool:
+        """Return whether the node was told to leave."""
+
+    def peer_told(self, intent: NodeIntent, peer: Peer) -> None:
         """Apply what the node was told at the peer process."""
 
-    def recall_intent(self) -> None:
-        """Apply what the node was told at a process that may have ended before it could tell its peer."""
+    def recall_intent(self, peer: Peer) -> None:
+        """Apply what the node was told at a peer process that may have ended before it could tell this one."""
+
+    def keep_intent(self) -> None:
+        """Keep what the node was told for a process that outlives this one."""
+
+    def discard_intent(self) -> None:
+        """Discard what is kept of the intent."""
+
+    def successor_ignores_intent(self) -> None:
+        """Record that a successor of an earlier version serves, which is not told the intent."""
 
-    def forget_intent(self) -> None:
-        """Discard what is kept of the intent: a peer of an earlier version serves and does not keep it up to date."""
+    def successor_left(self) -> None:
+        """Record that a successor of an earlier version has ended after a notice to leave."""
 
     def yield_ownership(self) -> None:
         """Stop accepting and finish open requests, since the successor serves."""
@@ -108,7 +122,9 @@
         self.send: Callable[[bytes], Delivery] | None = None  # None without a link
         self._is_executor_ready = False
         self._are_keys_sent = False  # whether every record has been sent to the successor
+        self._has_met_peer = False
         self._has_peer_sent_intent = False  # a peer of an earlier version does not, and ignores the intent it receives
+        self._is_successor_serving = False  # whether the successor served before the hand-over
 
     # The broker's `PeerProcess`, and `IdempotencyTable.replicate`:
 
@@ -150,9 +166,32 @@
             return False
         return self._send(self._host.usage()._replace(intent=intent))
 
+    def intent_changed(self) -> None:
+        """Keep what the node was told, and send it to the peer.
+
+        A notice to leave a node of one process concerns no other process, and is not kept."""
+        if self._has_met_peer or not self._host.is_leaving():
+            self._host.keep_intent()
+        self.send_usage()
+
     def recall_intent(self) -> None:
         """Apply what the node was told at a process to which there is no link."""
-        self._host.recall_intent()
+        self._host.recall_intent(self._peer)
+
+    @property
+    def _peer(self) -> Peer:
+        return Peer.SUCCESSOR if self.machine.stage in PREDECESSOR_STAGES else Peer.PREDECESSOR
+
+    def link_opened(self) -> None:
+        """Begin with a new link, on which `send` sends: tell the peer this process's usage and intent."""
+        self._has_met_peer = True
+        self._has_peer_sent_intent = False
+        self.send_usage()
+
+    def close(self) -> None:
+        """Discard the kept intent at the end of a process that has met no other."""
+        if not self._has_met_peer:
+            self._host.discard_intent()
 
     def receive(self, frame: Frame) -> None:
         """Process a frame of the peer. Raises ProtocolError."""
@@ -211,7 +250,7 @@
     def _apply_intent(self, intent: NodeIntent | None) -> None:
         if intent is not None:
             self._has_peer_sent_intent = True
-            self._host.peer_told(intent)
+            self._host.peer_told(intent, self._peer)
 
     # Successor:
 
@@ -233,7 +272,7 @@
         """Process the end of the link to the predecessor. `are_frames_lost`: frames were sent that cannot be read."""
         now = self._clock.now()
         self._end_link()
-        self._host.recall_intent()
+        self._host.recall_intent(Peer.PREDECESSOR)
         self.machine.predecessor_lost(now, is_alive)
         if are_frames_lost:  # one of them may claim the run of a key that this process knows as reserved
             self.machine.put_keys_in_doubt(now)
@@ -241,8 +280,14 @@
 
     # Predecessor:
 
-    def accept_successor(self) -> bool:
-        """Start a hand-over; return false if a successor is connected or this process does not own the keys."""
+    def accept_successor(self, is_serving: bool = False) -> bool:
+        """Start a hand-over; return false if the node leaves, a successor is connected or the keys are not owned.
+
+        `is_serving`: the successor serves already. Any other process begins a new life of a node that leaves, and waits
+        for the end of this one."""
+        if self._host.is_leaving() and not is_serving:
+            return False
+        self._is_successor_serving = is_serving
         return self.machine.apply(Event.SUCCESSOR_CONNECTED, self._clock.now())
 
     def record_frames(self) -> Iterator[bytes]:
@@ -264,24 +309,32 @@
         self._send(KeysSynced(max(0.0, self.machine.in_doubt_until)))
 
     def _grant_takeover(self) -> None:
+        if self._host.is_leaving() and not self._is_successor_serving:
+            self._send(Rejection("the node is leaving", is_busy=True))
+            return
         if not self.machine.apply(Event.TAKEOVER_REQUESTED, self._clock.now()):
             return
         self._counters.add("handover.yielded")
         if not self._has_peer_sent_intent:
-            self._host.forget_intent()
+            self._host.successor_ignores_intent()
         self._host.yield_ownership()
         self.send_usage()  # with what the node was told, before the successor serves
         self._send(LearnedStatistics(self._host.learned_statistics()))
         self._send(TakeoverGranted())
 
-    def successor_lost(self, is_alive: bool, loop_stalled_s: float, are_frames_lost: bool = False) -> None:
+    def successor_lost(
+        self, is_alive: bool, loop_stalled_s: float, are_frames_lost: bool = False, has_left: bool = False
+    ) -> None:
         """Process the end of the link to the successor.
 
-        `loop_stalled_s`: time since the last event loop iteration. `are_frames_lost`: as for `predecessor_lost`."""
+        `loop_stalled_s`: time since the last event loop iteration. `are_frames_lost`: as for `predecessor_lost`.
+        `has_left`: the successor has ended in order, as after a notice to leave."""
         now = self._clock.now()
         has_yielded = self.machine.stage is Stage.YIELDED
         self._end_link()
-        self._host.recall_intent()
+        self._host.recall_intent(Peer.SUCCESSOR)
+        if has_yielded and has_left:
+            self._successor_left()
         self.machine.successor_lost(now, has_yielded and is_alive, loop_stalled_s)
         if not has_yielded:
             return
@@ -293,18 +346,24 @@
 
     # Either process, without a link:
 
-    def peer_ended(self) -> None:
-        """Process the end of a peer process that had no link to this process."""
+    def peer_ended(self, has_left: bool = False) -> None:
+        """Process the end of a peer process that had no link to this process. `has_left`: as for `successor_lost`."""
         was_disconnected = self.machine.stage is Stage.DISCONNECTED
-        self._host.recall_intent()
+        self._host.recall_intent(self._peer)
+        if was_disconnected and has_left:
+            self._successor_left()
         self.machine.apply(Event.PEER_ENDED, self._clock.now())
         if was_disconnected:
             self._host.resume_ownership()
 
+    def _successor_left(self) -> None:
+        """Take the end of a successor that says nothing of its intent, and ends in order, for a notice to leave."""
+        if not self._has_peer_sent_intent:
+            self._host.successor_left()
+
     def _send(self, message: Message) -> bool:
         return self.send is not None and self.send(encode(message)) is Delivery.IN_KERNEL
 
     def _end_link(self) -> None:
         self.send = None
-        self._has_peer_sent_intent = False
         self._host.set_peer_usage(NO_USAGE)
--- a/chutepin/handover/state_machine.py
+++ b/chutepin/handover/state_machine.py
@@ -34,6 +34,9 @@
     DISCONNECTED = "disconnected"  # the successor serves, and the connection to it is lost
 
 
+PREDECESSOR_STAGES = frozenset({Stage.SENDING_KEYS, Stage.YIELDED, Stage.DISCONNECTED})
+
+
 class Event(Enum):
     """An event that may change the stage."""
 
--- a/chutepin/handover_host.py
+++ b/chutepin/handover_host.py
@@ -6,9 +6,10 @@
 
 from .admission import DescriptorBudget
 from .broker import Broker
+from .clock import Clock
 from .handover import IntentFile, ProcessUsage
 from .idempotency import IdempotencyRecord, KeyRequest
-from .lifecycle import Event, Lifecycle
+from .lifecycle import Event, Lifecycle, NewClients, Peer
 from .logs import Log
 from .net.resp import RespListener
 from .node_intent import NodeIntent
@@ -25,17 +26,24 @@
         subsystems: Sequence[Subsystem],
         lifecycle: Lifecycle,
         intent_file: IntentFile,
+        clock: Clock,
         log: Log,
+        drain_grace_s: float,
         descriptors: DescriptorBudget,
         max_descriptors: int,
     ) -> None:
-        """Create the host. `max_descriptors`: the limit of both processes together."""
+        """Create the host.
+
+        `drain_grace_s`: how long after a notice to leave a request that arrives may run. `max_descriptors`: the limit
+        of both processes together."""
         self._broker = broker
         self._front = front
         self._subsystems = subsystems
         self._lifecycle = lifecycle
         self._intent_file = intent_file
+        self._clock = clock
         self._log = log
+        self._drain_grace_s = drain_grace_s
         self._descriptors = descriptors
         self._max_descriptors = max_descriptors
 
@@ -96,16 +104,37 @@
         self._descriptors.limit = self._max_descriptors - usage.descriptors
         self._broker.peer_exchange.set_peer_usage(usage.running, usage.memory_kb)
 
-    def peer_told(self, intent: NodeIntent) -> None:
+    def is_leaving(self) -> bool:
+        """Return whether the node was told to leave."""
+        return self._lifecycle.is_leaving
+
+    def peer_told(self, intent: NodeIntent, peer: Peer) -> None:
         """Apply what the node was told at the peer process."""
-        self._lifecycle.merge(intent)
+        self._lifecycle.merge(intent, peer)
+
+    def recall_intent(self, peer: Peer) -> None:
+        """Apply what the node was told at a peer process that may have ended before it could tell this one."""
+        self._lifecycle.merge(self._intent_file.load(), peer)
+
+    def keep_intent(self) -> None:
+        """Keep what the node was told for a process that outlives this one."""
+        self._intent_file.store(self._lifecycle.intent)
+
+    def discard_intent(self) -> None:
+        """Discard what is kept of the intent."""
+        self._intent_file.remove()
+
+    def successor_left(self) -> None:
+        """Record that a successor of an earlier version has ended after a notice to leave.
+
+        Such a process ends after the grace, so nothing that arrives from now on may run."""
+        notice_at = max(self._lifecycle.started_at, self._clock.now() - self._drain_grace_s)
+        self._lifecycle.merge(NodeIntent(left_at=notice_at), Peer.SUCCESSOR)
 
-    def recall_intent(self) -> None:
-        """Apply what the node was told at a process that may have ended before it could tell its peer."""
-        self._lifecycle.merge(self._intent_file.load())
+    def successor_ignores_intent(self) -> None:
+        """Record that a successor of an earlier version serves, which is not told the intent.
 
-    def forget_intent(self) -> None:
-        """Discard what is kept of the intent: a peer of an earlier version serves and does not keep it up to date."""
+        What is kept of the intent is discarded, as that successor does not keep it up to date."""
         self._log.event("handover.peer_without_intent", state=self._lifecycle.state.value)
         self._intent_file.remove()
 
@@ -117,8 +146,10 @@
             subsystem.yield_ownership()
 
     def resume_ownership(self) -> None:
-        """Accept again after the end of the successor."""
+        """Accept again after the end of the successor, unless this process or the node was told to end."""
         self._lifecycle.apply(Event.SUCCESSOR_LOST)
+        if self._lifecycle.behaviour.new_clients is NewClients.NOT_ACCEPTED:
+            return
         if self._broker.started:
             self._lifecycle.apply(Event.CAN_SERVE)
         self._front.resume_ownership()
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -97,8 +97,8 @@
         self.clock = Clock()
         self.counters = Counters()
         self.log = Log(self.clock, log_format)
-        self.lifecycle = Lifecycle()
-        self.lifecycle.on_transition = self._log_transition
+        self.lifecycle = Lifecycle(self.clock.now())
+        self.lifecycle.on_transition = self._on_transition
         # The soft limit of the system caps the number of descriptors that the configuration allows.
         self.sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.descriptors = build_budget(
@@ -126,6 +126,7 @@
         directory = os.environ.get("TMPDIR")
         self.handover = self._build_handover(directory, amqp) if directory else None
         self.listener = self._build_listener() if config.ops is not None else None
+        self._handover_task: asyncio.Future[None] | None = None
         self._is_serving = False
         self.reporter = Reporter(config.control, config.name, self._ready, self.counters, config.seed)
         self.shutdown = Shutdown(
@@ -250,7 +251,9 @@
             self.subsystems,
             self.lifecycle,
             intent_file,
+            self.clock,
             self.log,
+            config.settings.drain_grace,
             self.descriptors,
             self.sockets,
         )
@@ -265,11 +268,7 @@
         else:
             intent_file.remove()
 
-        def announce_intent() -> None:
-            intent_file.store(self.lifecycle.intent)
-            session.send_usage()
-
-        self.lifecycle.on_intent_changed = announce_intent
+        self.lifecycle.on_intent_changed = session.intent_changed
         return link
 
     def print_counters(self) -> None:
@@ -348,7 +347,7 @@
     def _terminate(self, at: float) -> None:
         """Handle SIGTERM, which came at this Unix time."""
         self.log.event("process.told", word="SIGTERM", at=f"{at:.3f}", state=self.lifecycle.state.value)
-        self.shutdown.request(at)
+        self.shutdown.terminate(at)
 
     async def run(self) -> int:
         """Serve until a shutdown is requested, drain, and return the exit code."""
@@ -381,13 +380,14 @@
             self._restart_on_error(self._report),
             *(subsystem.run() for subsystem in self.subsystems),
         ]
-        if self.handover is not None:
-            coroutines.append(self.handover.run())
         if self.consumer is not None:
             coroutines.append(self._restart_on_error(self.consumer.run))
         if self.source is not None:
             coroutines.append(self._replay_file(self.source))
         tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
+        if self.handover is not None:
+            self._handover_task = asyncio.ensure_future(self.handover.run())
+            tasks.append(self._handover_task)
         self.broker.tick()
         await self.shutdown.run()
         for task in tasks:
@@ -418,10 +418,10 @@
         self.log.event("pcap.read", **dataclasses.asdict(source.report))
         while self.broker.awaiting_response_count:
             await asyncio.sleep(REPLAY_POLL_INTERVAL_S)
-        self.shutdown.request(self.clock.now())
+        self.shutdown.terminate(self.clock.now())
 
-    def _log_transition(self, cause: Event, previous: State) -> None:
-        """Log a change of the process's state and what was told to it, with the Unix time."""
+    def _on_transition(self, cause: Event, previous: State) -> None:
+        """Log a change of the process's state with its cause and the Unix time, and shut down if the process ends."""
         self.log.event(
             "process.state",
             cause=cause.value,
@@ -429,6 +429,10 @@
             after=self.lifecycle.state.value,
             at=f"{self.clock.now():.3f}",
         )
+        if self.lifecycle.behaviour.is_ending:
+            self.shutdown.request()
+            if previous in (State.STANDBY, State.STANDBY_DRAINED) and self._handover_task is not None:
+                self._handover_task.cancel()  # a process that ends must not take over
 
     def _on_executor_started(self) -> None:
         """Pass the start of the executor on to the hand-over and the lifecycle."""
--- a/chutepin/shutdown.py
+++ b/chutepin/shutdown.py
@@ -4,12 +4,12 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from .broker import Broker
 from .clock import Clock
 from .config import Config
-from .lifecycle import Event, Lifecycle
+from .lifecycle import Lifecycle, NewClients
 from .logs import Log
 from .net.resp import RespListener
 from .subsystem import Subsystem
@@ -23,8 +23,15 @@
 POLL_INTERVAL_S = 0.01  # between checks for requests that still await an answer
 
 
+class _Stop(NamedTuple):
+    """By when a process must have ended, and why."""
+
+    stop_at: float  # Unix time by which every request is answered
+    left_at: float | None  # Unix time of the notice to the node; None: only this process ends
+
+
 class Shutdown:
-    """The end of a process, from SIGTERM until everything open is finished or its stop time has come."""
+    """The end of a process: from the word that ends it until everything open is finished or its stop time has come."""
 
     def __init__(
         self,
@@ -46,57 +53,80 @@
         self._subsystems = subsystems
         self._consumer = consumer
         self._requested = asyncio.Event()
-        self._requested_at = 0.0  # Unix time
+        self._terminated_at: float | None = None  # Unix time of the first SIGTERM
+        self._stop: _Stop | None = None
+        self._is_listener_closed = False
+
+    def terminate(self, at: float) -> None:
+        """Apply SIGTERM, which came at this Unix time; later ones change no time of an earlier one."""
+        notice_at = min(at, self._clock.now())
+        if self._terminated_at is None:
+            self._terminated_at = notice_at
+        self._lifecycle.terminate(notice_at)
 
-    def request(self, at: float) -> None:
-        """Record a request, made at this Unix time, to shut down; later requests have no effect."""
-        if not self._requested.is_set():
-            self._requested_at = min(at, self._clock.now())
-            self._requested.set()
+    def request(self) -> None:
+        """Begin the shutdown, as the lifecycle has reached a state in which the process ends."""
+        self._requested.set()
 
     async def run(self) -> None:
-        """Wait for a request to shut down, then drain, or finish if another process serves."""
+        """Wait until the process has to end, and finish what is open, at the latest at the stop time."""
         await self._requested.wait()
         self._log.event("leaving")
-        self._lifecycle.apply(Event.SIGTERM)
-        if self._lifecycle.is_ending:
-            await self._finish()
-        else:
-            await self._drain()
+        while True:
+            stop = self._current_stop()
+            if stop != self._stop:
+                self._begin(stop)
+            self._close_listener(stop)
+            if self._clock.now() >= stop.stop_at + STOP_MARGIN_S / 3 or not self._has_open_work:
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def _drain(self) -> None:
-        """Serve through the grace period, ask balancers to close, and wait for open requests and connections.
+    @property
+    def _accepts_in_grace(self) -> bool:
+        return self._lifecycle.behaviour.new_clients is NewClients.ACCEPTED_IN_GRACE
 
-        The wait ends at the stop time at the latest."""
-        for subsystem in self._subsystems:
-            subsystem.leave()
-        stop = self._requested_at + self._config.stop - STOP_MARGIN_S
-        self._broker.drain(stop, self._requested_at)
-        if self._consumer is not None:
-            self._consumer.leave()
-        grace = self._broker.last_arrival or stop
-        while self._clock.now() < min(grace, stop):
-            await asyncio.sleep(2 * POLL_INTERVAL_S)
-        self._front.leave()
-        while self._clock.now() < stop + STOP_MARGIN_S / 3 and (
-            self._broker.awaiting_response_count or self._has_open_connections
-        ):
-            await asyncio.sleep(POLL_INTERVAL_S)
+    def _current_stop(self) -> _Stop:
+        """Return the earlier stop of a process that was told to end and of a node that was told to leave."""
+        left_at = self._lifecycle.intent.left_at
+        stops = []
+        if left_at is not None:
+            stops.append(left_at + self._config.stop - STOP_MARGIN_S)
+        if self._terminated_at is not None and not self._accepts_in_grace:
+            longest = max((cls.deadline for cls in self._config.settings.classes), default=MAX_DEADLINE_S)
+            stops.append(self._terminated_at + min(longest, MAX_DEADLINE_S) + FINISH_MARGIN_S - STOP_MARGIN_S)
+        return _Stop(min(stops), left_at)
 
-    async def _finish(self) -> None:
-        """Finish the open attempts and connections of this process, without a drain: another process serves."""
-        longest = max((cls.deadline for cls in self._config.settings.classes), default=MAX_DEADLINE_S)
-        stop = self._requested_at + min(longest, MAX_DEADLINE_S) + FINISH_MARGIN_S - STOP_MARGIN_S
-        self._broker.finish(stop)
+    def _begin(self, stop: _Stop) -> None:
+        """Drain, or only finish if the node was told nothing and another process serves."""
+        is_first_notice = self._stop is None or self._stop.left_at is None
+        self._stop = stop
+        if stop.left_at is None:
+            self._broker.finish(stop.stop_at)
+        else:
+            self._broker.drain(stop.stop_at, stop.left_at)
+            if self._accepts_in_grace and is_first_notice:
+                for subsystem in self._subsystems:
+                    subsystem.leave()
         if self._consumer is not None:
             self._consumer.leave()
-        self._front.yield_ownership()
-        while self._clock.now() < stop + STOP_MARGIN_S / 3 and (
-            self._broker.has_open_attempts or self._has_open_connections
-        ):
-            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def _close_listener(self, stop: _Stop) -> None:
+        """Stop accepting and ask balancers to close: at once, or after the grace if this process serves the node."""
+        if self._is_listener_closed:
+            return
+        grace_end = self._broker.last_arrival or stop.stop_at
+        if self._accepts_in_grace and self._clock.now() < min(grace_end, stop.stop_at):
+            return
+        self._is_listener_closed = True
+        self._front.leave()
 
     @property
-    def _has_open_connections(self) -> bool:
-        """Return whether a balancer is connected or a delivery is not settled."""
-        return bool(self._front.connections) or (self._consumer is not None and not self._consumer.settled)
+    def _has_open_work(self) -> bool:
+        """Return whether a request, connection or delivery is open, or new ones may still come."""
+        if not self._is_listener_closed or self._front.connections:
+            return True
+        if self._consumer is not None and not self._consumer.settled:
+            return True
+        if self._accepts_in_grace:
+            return self._broker.awaiting_response_count > 0
+        return self._broker.has_open_attempts
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,8 +23,14 @@
 from .test_operation import call
 
 
-def run_upgrade(test: Callable[[Standins, Standins, AsyncExitStack], Awaitable[None]], window: float = WINDOW) -> None:
-    """Run a test with a serving predecessor and stand-ins for a successor at the same address."""
+def run_upgrade(
+    test: Callable[[Standins, Standins, AsyncExitStack], Awaitable[None]],
+    window: float = WINDOW,
+    configure: Callable[[Standins, Standins], None] = lambda predecessor, successor: None,
+) -> None:
+    """Run a test with a serving predecessor and stand-ins for a successor at the same address.
+
+    `configure`: changes the settings of both before the start."""
 
     async def run() -> None:
         async with AsyncExitStack() as stack:
@@ -32,6 +38,7 @@
             predecessor, successor = Standins(), Standins()
             for process in (predecessor, successor):
                 process.env["categories"][2]["window"] = window
+            configure(predecessor, successor)
             predecessor.environ = successor.environ = {"TMPDIR": directory}
             await predecessor.start(stack, ops=True)
             successor.listen_port = predecessor.port
--- a/tests/test_handover_session.py
+++ b/tests/test_handover_session.py
@@ -17,6 +17,7 @@
 from chutepin.handover.frames import Frame, FrameReader, MalformedFrameError, encode_frame
 from chutepin.handover.state_machine import Event
 from chutepin.idempotency import IdempotencyRecord
+from chutepin.lifecycle import Peer
 from chutepin.node_intent import NodeIntent
 
 from .helper import STEPS, WINDOW, Core
@@ -60,12 +61,21 @@
     def set_peer_usage(self, usage: ProcessUsage) -> None:
         self.core.broker.peer_exchange.set_peer_usage(usage.running, usage.memory_kb)
 
-    def peer_told(self, intent: NodeIntent) -> None:
+    def is_leaving(self) -> bool:
+        return self.intent.left_at is not None
+
+    def peer_told(self, intent: NodeIntent, peer: Peer) -> None:
         self.intent = self.intent.merged_with(intent)
 
-    def recall_intent(self) -> None: ...
+    def recall_intent(self, peer: Peer) -> None: ...
+
+    def keep_intent(self) -> None: ...
+
+    def discard_intent(self) -> None: ...
+
+    def successor_ignores_intent(self) -> None: ...
 
-    def forget_intent(self) -> None: ...
+    def successor_left(self) -> None: ...
 
     def yield_ownership(self) -> None:
         self.is_accepting = False
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -64,8 +64,10 @@
         State.DRAINED: "SSS",
         State.HANDED_OVER: passed_on,
         State.HANDED_OVER_DRAINED: passed_on,
+        State.HANDED_OVER_LEAVING: "FFF",
         State.ENDING: passed_on,
         State.ENDING_DRAINED: passed_on,
+        State.ENDING_LEAVING: "FFF",
         State.LEAVING: "FFF",
     }
     assert set(expected) == set(State)
@@ -97,12 +99,16 @@
         (Event.RESUME, True),
     ):
         assert lifecycle.apply(move) and lifecycle.healthy is healthy and lifecycle.can_serve
-    assert lifecycle.apply(Event.SIGTERM) and not lifecycle.is_ending
-    assert not any(lifecycle.apply(other) for other in Event if other is not Event.SIGTERM)
+    lifecycle.terminate(7.0)
+    assert lifecycle.is_leaving and lifecycle.intent.left_at == 7.0
+    for event in Event:
+        lifecycle.apply(event)
+        assert lifecycle.is_leaving and not lifecycle.healthy
     assert set(TRANSITIONS) == set(State)
     old = Lifecycle()
-    assert all(old.apply(step) for step in (Event.CAN_SERVE, Event.SUCCESSOR_SERVES, Event.SIGTERM))
-    assert old.is_ending and old.healthy
+    assert all(old.apply(step) for step in (Event.CAN_SERVE, Event.SUCCESSOR_SERVES))
+    old.terminate(7.0)
+    assert old.behaviour.is_ending and not old.is_leaving and old.healthy and old.intent.left_at is None
 
 
 def test_metrics_list_each_class_from_start_with_escaped_labels() -> None:
