AMQP: requests get ids that the other process of the node does not give

What callers saw: after an upgrade the first messages without a key were rejected without requeue and never ran.

Evidence: three messages at each process; the new one counts amqp.reject=3, requests.repeated=3.

Change: ids are random numbers of the system.

Measured: the new test fails before (reject, reject, reject) and passes after; 163 AMQP tests pass.

--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import math
+import os
 import random
 from dataclasses import dataclass
 
@@ -36,6 +37,7 @@
 MAX_UNSENT_BYTES = 2**20  # over which the link is closed, as the AMQP broker does not read
 MIN_QUEUE_PAUSE_S = 0.25  # shortest pause of a queue after a rejected delivery
 CHECK_INTERVAL_S = 0.25  # between checks of heartbeats, pauses and the window
+REQUEST_ID_BYTES = 8
 OPEN_TIMEOUT_S = 10.0  # from the connection to the open session
 
 
@@ -57,6 +59,11 @@
     return max(0, min(prefetch, math.ceil(allowed)))
 
 
+def new_request_id() -> str:
+    """Return an id that no other process of the node gives, whatever seed they share."""
+    return os.urandom(REQUEST_ID_BYTES).hex()
+
+
 @dataclass(slots=True)
 class Delivery:
     """The destination of one request's answer: a delivery on one link."""
@@ -135,7 +142,7 @@
             properties,
             queue,
             contract,
-            new_id=lambda: f"{self._random.getrandbits(64):016x}",
+            new_id=new_request_id,
             rank=rank,
             now=self.clock.now(),
             redelivery_window_s=self.config.redelivery_window,
--- a/tests/test_amqp_upgrade.py
+++ b/tests/test_amqp_upgrade.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
+import tempfile
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 import pytest
@@ -15,10 +18,12 @@
 from chutepin.logs import Log
 from chutepin.net.amqp import Consumer, Session, State
 from chutepin.node import Node
-from chutepin.testbench.standins.platform import EXAMPLE
+from chutepin.testbench.standins.amqp_broker import StandinBroker
+from chutepin.testbench.standins.platform import EVENTUALLY_TIMEOUT_S, EXAMPLE, eventually
 
-from .helper import ENV, ROOT, WINDOW, Core
-from .test_amqp import SECRET
+from .helper import ENV, ROOT, WINDOW, Core, Standins
+from .test_amqp import SECRET, STATUS
+from .test_handover import wait_until_ready
 
 CONFIG = load_amqp(str(ROOT / "deploy" / "amqp.toml"), wire.parse_settings(ENV), SECRET)
 KEYED_QUEUE, OTHER_QUEUE = 0, 1
@@ -73,6 +78,42 @@
     assert machine.ownership(WINDOW + 1.0, WINDOW) is KeyOwnership.OWNED  # the request of a balancer
 
 
+async def start_with_broker(stack: AsyncExitStack, process: Standins) -> StandinBroker:
+    """Start a process that consumes from a stand-in broker of its own."""
+    broker = StandinBroker()
+    await broker.start(stack)
+    path = Path(stack.enter_context(tempfile.TemporaryDirectory())) / "amqp.toml"
+    text = (ROOT / "deploy" / "amqp.toml").read_text()
+    path.write_text(text.replace("127.0.0.1:5672", f"127.0.0.1:{broker.port}"))
+    await process.start(stack, "--amqp", str(path), environ=SECRET, ops=True)
+    return broker
+
+
+async def serve_messages(broker: StandinBroker, count: int) -> list[str]:
+    """Put messages into a queue without keys, wait until they are settled, and return how."""
+    messages = [broker.put(STATUS, b"read %d" % number) for number in range(count)]
+    await eventually(lambda: all(message.settled for message in messages))
+    return [message.settled for message in messages]
+
+
+# Guards against ids of deliveries that are the same at both processes, so that the second one takes them for repeats.
+def test_deliveries_to_the_successor_are_served_although_the_predecessor_has_served_as_many() -> None:
+    async def test() -> None:
+        async with AsyncExitStack() as stack:
+            old, new = Standins(), Standins()
+            old.environ = {"TMPDIR": stack.enter_context(tempfile.TemporaryDirectory())}
+            broker = await start_with_broker(stack, old)
+            await wait_until_ready(old)
+            assert await serve_messages(broker, 3) == ["ack"] * 3
+            new.environ, new.listen_port = old.environ, old.port
+            broker = await start_with_broker(stack, new)
+            await wait_until_ready(new)
+            assert await serve_messages(broker, 3) == ["ack"] * 3
+            assert not {id for id, _, _ in old.runs} & {id for id, _, _ in new.runs}
+
+    asyncio.run(asyncio.wait_for(test(), EVENTUALLY_TIMEOUT_S))
+
+
 def test_doubt_of_the_predecessor_holds_for_keys_of_any_lifetime() -> None:
     """The predecessor tells when the doubt ends, and not when it began."""
     machine = HandoverStateMachine(900.0)
