AMQP: only the process that accepts clients consumes

Cause: the consumer looked at the executor, the load value and the keys, and not at the state of the process.

Change: it asks the table of lifecycle.py, as the listener does.

--- a/chutepin/lifecycle.py
+++ b/chutepin/lifecycle.py
@@ -286,6 +286,11 @@
         """Return whether the process decides and answers new requests."""
         return self.state in (State.SERVING, State.DRAINED)
 
+    @property
+    def accepts_work(self) -> bool:
+        """Return whether the process accepts new work without a limit of time."""
+        return self.behaviour.new_clients is NewClients.ACCEPTED
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the node was told to leave."""
--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -18,6 +18,7 @@
 import math
 import os
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from pamqp import commands, heartbeat
@@ -85,9 +86,18 @@
     The consumer lives as long as the node and replaces its link whenever it is lost."""
 
     def __init__(
-        self, config: AmqpConfig, broker: Broker, clock: Clock, counters: Counters, log: Log, seed: int
+        self,
+        config: AmqpConfig,
+        broker: Broker,
+        clock: Clock,
+        counters: Counters,
+        log: Log,
+        seed: int,
+        accepts_work: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Create a consumer. `accepts_work`: returns whether this process takes new work for its node now."""
         self.config, self.broker, self.clock, self.counters, self.log = config, broker, clock, counters, log
+        self._accepts_work = accepts_work
         self._random = random.Random(seed)
         self._open_deliveries: dict[str, Delivery] = {}
         self._resume_at = [0.0] * len(config.queues)  # by queue index: when it may be consumed again
@@ -196,8 +206,9 @@
         if self.broker.started:
             window = consumption_window(self.broker.load_signal, self.broker.value, self.config.prefetch)
         session.set_window(window)
+        is_accepting = self._accepts_work() and not self._leaving
         for index, resume_at in enumerate(self._resume_at):
-            if window > 0 and not self._leaving and now >= resume_at and self._may_consume(index):
+            if window > 0 and is_accepting and now >= resume_at and self._may_consume(index):
                 session.consume(index)
             else:
                 session.pause(index)
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -221,7 +221,15 @@
         """Build the consumer of the AMQP queues."""
         from .net.amqp import Consumer
 
-        return Consumer(amqp, self.broker, self.clock, self.counters, self.log, self.config.seed)
+        return Consumer(
+            amqp,
+            self.broker,
+            self.clock,
+            self.counters,
+            self.log,
+            self.config.seed,
+            lambda: self.lifecycle.accepts_work,
+        )
 
     def _build_recorder(self, path: str) -> Recorder:
         """Build the recorder that writes the balancers' traffic to a pcap file."""
--- a/tests/test_amqp_upgrade.py
+++ b/tests/test_amqp_upgrade.py
@@ -18,6 +18,7 @@
 from chutepin.logs import Log
 from chutepin.net.amqp import Consumer, Session, State
 from chutepin.node import Node
+from chutepin.testbench.signals import kill
 from chutepin.testbench.standins.amqp_broker import StandinBroker
 from chutepin.testbench.standins.platform import EVENTUALLY_TIMEOUT_S, EXAMPLE, eventually
 
@@ -114,6 +115,29 @@
     asyncio.run(asyncio.wait_for(test(), EVENTUALLY_TIMEOUT_S))
 
 
+# Guards against a process that takes new work from a queue although the other process of its node serves.
+def test_only_the_serving_process_of_an_upgrade_consumes() -> None:
+    async def test() -> None:
+        async with AsyncExitStack() as stack:
+            old, new = Standins(), Standins()
+            old.environ = {"TMPDIR": stack.enter_context(tempfile.TemporaryDirectory())}
+            old_broker = await start_with_broker(stack, old)
+            await wait_until_ready(old)
+            new.environ, new.listen_port = old.environ, old.port
+            new_broker = await start_with_broker(stack, new)
+            await wait_until_ready(new)
+            await eventually(lambda: set(old_broker.cancelled) >= {"q0", "q1"})
+            message = old_broker.put(STATUS, b"read at the old process")
+            assert await serve_messages(new_broker, 1) == ["ack"]
+            assert not message.settled and not message.deliveries
+            assert new.process is not None
+            kill(new.process)
+            await eventually(lambda: message.settled)
+            assert [body for _, _, body in old.runs] == [b"read at the old process"]
+
+    asyncio.run(asyncio.wait_for(test(), EVENTUALLY_TIMEOUT_S))
+
+
 def test_doubt_of_the_predecessor_holds_for_keys_of_any_lifetime() -> None:
     """The predecessor tells when the doubt ends, and not when it began."""
     machine = HandoverStateMachine(900.0)
