Hand-over: a peer's notice to leave does not count from the future

A malformed peer could tell a time in the far future, and the process would have left without an end. The time is at most now.

--- a/chutepin/handover_host.py
+++ b/chutepin/handover_host.py
@@ -110,11 +110,11 @@
 
     def peer_told(self, intent: NodeIntent, peer: Peer) -> None:
         """Apply what the node was told at the peer process."""
-        self._lifecycle.merge(intent, peer)
+        self._lifecycle.merge(intent, peer, self._clock.now())
 
     def recall_intent(self, peer: Peer) -> None:
         """Apply what the node was told at a peer process that may have ended before it could tell this one."""
-        self._lifecycle.merge(self._intent_file.load(), peer)
+        self._lifecycle.merge(self._intent_file.load(), peer, self._clock.now())
 
     def keep_intent(self) -> None:
         """Keep what the node was told for a process that outlives this one."""
@@ -128,8 +128,9 @@
         """Record that a successor of an earlier version has ended after a notice to leave.
 
         Such a process ends after the grace, so nothing that arrives from now on may run."""
-        notice_at = max(self._lifecycle.started_at, self._clock.now() - self._drain_grace_s)
-        self._lifecycle.merge(NodeIntent(left_at=notice_at), Peer.SUCCESSOR)
+        now = self._clock.now()
+        notice_at = max(self._lifecycle.started_at, now - self._drain_grace_s)
+        self._lifecycle.merge(NodeIntent(left_at=notice_at), Peer.SUCCESSOR, now)
 
     def successor_ignores_intent(self) -> None:
         """Record that a successor of an earlier version serves, which is not told the intent.
--- a/chutepin/lifecycle.py
+++ b/chutepin/lifecycle.py
@@ -255,10 +255,13 @@
         if is_notice:
             self.on_intent_changed()
 
-    def merge(self, intent: NodeIntent, told_to: Peer) -> None:
-        """Apply what the node was told at the other process, which is this one's predecessor or successor."""
-        if intent.left_at is not None and not self._is_told(intent.left_at, told_to):
-            intent = intent._replace(left_at=None)
+    def merge(self, intent: NodeIntent, told_to: Peer, now: float) -> None:
+        """Apply what the node was told at the other process, which is this one's predecessor or successor.
+
+        `now`: Unix time; a notice to leave does not count from a later time."""
+        if intent.left_at is not None:
+            is_told = self._is_told(intent.left_at, told_to)
+            intent = intent._replace(left_at=min(intent.left_at, now) if is_told else None)
         merged = self.intent.merged_with(intent)
         if merged == self.intent:
             return
--- a/tests/test_handover_frames.py
+++ b/tests/test_handover_frames.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import math
 
@@ -38,6 +39,7 @@
 )
 from chutepin.idempotency import IdempotencyRecord, KeyRequest
 from chutepin.net.lines import ProtocolError
+from chutepin.node_intent import NodeIntent
 
 from .helper import Core
 
@@ -76,6 +78,7 @@
     learned = core.broker.peer_exchange.learned()
     return [
         Hello(1),
+        Hello(1, is_serving=True),
         HandoverAccepted(1),
         Rejection("another successor", is_busy=True),
         Rejection("another version", version=2),
@@ -83,6 +86,8 @@
         RecordChanged(IdempotencyRecord("k", "id", 7.25, b"", None, None, b"")),
         KeyRemoved("k"),
         ProcessUsage(3, 12.5, 40),
+        ProcessUsage(3, 12.5, 40, ("id",), NodeIntent(2, True)),
+        ProcessUsage(3, 12.5, 40, (), NodeIntent(0, False, 7.25)),
         KeyRequest("id", "k", b"\x01", 7.25),
         KeyReply("id", "k", True),
         KeysSynced(9.5),
@@ -163,6 +168,13 @@
             except MalformedFrameError:
                 continue
             assert_valid_values(decoded)
+        if isinstance(frame.fields[name], dict):
+            changed = [
+                {**frame.fields[name], inner: value} for inner in frame.fields[name] for value in MALFORMED_VALUES
+            ]
+            for values in changed:
+                with contextlib.suppress(MalformedFrameError):
+                    assert_valid_values(decode(Frame(frame.verb, {**frame.fields, name: values})))
         missing = {other: value for other, value in frame.fields.items() if other != name}
         try:
             assert_valid_values(decode(Frame(frame.verb, missing)))
--- a/tests/test_intent_crossings.py
+++ b/tests/test_intent_crossings.py
@@ -156,6 +156,50 @@
     run_upgrade(test)
 
 
+# Guards against a control plane that lists a drained node by the report of one of its processes.
+def test_both_processes_report_a_drained_node_as_not_ready_until_resume() -> None:
+    async def test(predecessor: Standins, successor: Standins, stack: AsyncExitStack) -> None:
+        at_old = await hold_run(predecessor)
+        await command(predecessor, b"drain")
+        await eventually(lambda: predecessor.reports and b"NotReady" in predecessor.reports[-1])
+        reported = len(predecessor.reports)
+        await successor.start(stack, ops=True)
+        await wait_until_ready(successor)
+        await eventually(lambda: len(successor.reports) >= 2 and len(predecessor.reports) >= reported + 2)
+        assert all(b"NotReady" in report for report in [*predecessor.reports[reported:], *successor.reports])
+        await command(successor, b"resume")
+        for process in (predecessor, successor):
+            await eventually(lambda process=process: b"NotReady" not in process.reports[-1])  # type: ignore[misc]
+        await at_old.close()
+
+    run_upgrade(test)
+
+
+# Guards against two processes that keep different words after a drain and a resume came to both at once.
+@pytest.mark.parametrize("first", ["drain", "resume"])
+def test_drain_and_resume_at_both_processes_at_once_leave_them_with_the_same_answer(first: str) -> None:
+    async def test(predecessor: Standins, successor: Standins, stack: AsyncExitStack) -> None:
+        at_old = await hold_run(predecessor)
+        await successor.start(stack, ops=True)
+        await wait_until_ready(successor)
+        at_new = await successor.connect()
+        assert successor.process is not None
+        second = "resume" if first == "drain" else "drain"
+        send_signal(successor.process, signal.SIGSTOP)
+        at_successor = asyncio.create_task(call(successor, second.encode() + b"\n"))
+        await asyncio.sleep(0.1)
+        assert (await call(predecessor, first.encode() + b"\n")).startswith("SUCCESS")
+        send_signal(successor.process, signal.SIGCONT)
+        assert (await at_successor).startswith("SUCCESS")
+        await asyncio.sleep(0.5)
+        answer = await check_health(at_new)
+        await assert_health(answer, 0.0, at_old, at_new)
+        await at_old.close()
+        await at_new.close()
+
+    run_upgrade(test)
+
+
 # Guards against a drain that is lost with the process that confirmed it, before its successor was told.
 @pytest.mark.parametrize("killed", ["predecessor", "successor"])
 def test_drain_survives_the_death_of_the_process_that_confirmed_it(killed: str) -> None:
--- a/tests/test_node_intent.py
+++ b/tests/test_node_intent.py
@@ -78,16 +78,24 @@
 def test_serving_process_ignores_the_notice_to_its_predecessor_and_obeys_that_to_its_successor() -> None:
     lifecycle = Lifecycle()
     lifecycle.apply(Event.CAN_SERVE)
-    lifecycle.merge(NodeIntent(left_at=5.0), Peer.PREDECESSOR)
+    lifecycle.merge(NodeIntent(left_at=5.0), Peer.PREDECESSOR, now=9.0)
     assert not lifecycle.is_leaving and lifecycle.intent.left_at is None
-    lifecycle.merge(NodeIntent(left_at=5.0), Peer.SUCCESSOR)
+    lifecycle.merge(NodeIntent(left_at=5.0), Peer.SUCCESSOR, now=9.0)
     assert lifecycle.is_leaving and lifecycle.intent.left_at == 5.0
 
 
+# Guards against a peer's time in the far future, with which the process would never end.
+def test_notice_of_a_peer_does_not_lie_in_the_future() -> None:
+    lifecycle = Lifecycle()
+    lifecycle.apply(Event.CAN_SERVE)
+    lifecycle.merge(NodeIntent(left_at=1e15), Peer.SUCCESSOR, now=7.0)
+    assert lifecycle.is_leaving and lifecycle.intent.left_at == 7.0
+
+
 def test_process_ignores_a_notice_from_before_its_start() -> None:
     lifecycle = Lifecycle(started_at=6.0)
     lifecycle.apply(Event.PREDECESSOR_FOUND)
-    lifecycle.merge(NodeIntent(sequence=1, is_drained=True, left_at=5.0), Peer.PREDECESSOR)
+    lifecycle.merge(NodeIntent(sequence=1, is_drained=True, left_at=5.0), Peer.PREDECESSOR, now=9.0)
     assert not lifecycle.healthy and not lifecycle.is_leaving and lifecycle.intent.left_at is None
 
 
@@ -126,8 +134,8 @@
     lifecycle = Lifecycle()
     lifecycle.apply(Event.CAN_SERVE)
     drained = NodeIntent().drained()
-    lifecycle.merge(drained, Peer.PREDECESSOR)
+    lifecycle.merge(drained, Peer.PREDECESSOR, now=9.0)
     assert lifecycle.can_serve and not lifecycle.healthy
     assert lifecycle.resume(lambda intent: False) and lifecycle.healthy
-    lifecycle.merge(drained, Peer.PREDECESSOR)
+    lifecycle.merge(drained, Peer.PREDECESSOR, now=9.0)
     assert lifecycle.healthy
