Node: reload and the state's log in modules of their own; the hand-over's port too

reload.py has the configuration in force and its replacement, state_log.py what SIGUSR1 and the exit log, handover/host.py the port to the node.

--- a/chutepin/cli/admission.py
+++ b/chutepin/cli/admission.py
@@ -8,7 +8,7 @@
 from ..admission.addresses import LOCAL, pack_address
 from ..config import ConfigError, load_setup
 from ..logs import print_line
-from ..node import build_rules
+from ..reload import build_rules
 from .output import show_json, show_table, use_json
 
 
--- a/chutepin/handover/__init__.py
+++ b/chutepin/handover/__init__.py
@@ -9,11 +9,12 @@
 one that was told) and `link` (the transport of a session). The node is accessed through
 the port `HandoverHost`. `docs/operation.md` describes the design and prints the transition table."""
 
+from .host import HandoverHost
 from .intent_file import IntentFile
 from .link import HandoverLink
 from .messages import ProcessUsage
 from .rendezvous import Rendezvous, rendezvous_path
-from .session import Delivery, HandoverHost, HandoverSession
+from .session import Delivery, HandoverSession
 from .state_machine import HandoverStateMachine, Stage
 
 __all__ = [
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -1,4 +1,4 @@
-"""Assembles one node and owns its start, reload, hand-over, drain and shutdown."""
+"""Assembles one node from its parts, runs them, and passes signals and the executor's start on to them."""
 
 from __future__ import annotations
 
@@ -13,11 +13,10 @@
 from typing import TYPE_CHECKING
 
 from . import decision, signals
-from .admission import AddressSharing, Rules
-from .admission.addresses import Networks
+from .admission import AddressSharing
 from .broker import Broker
 from .clock import Clock
-from .config import AdmissionSetup, AmqpConfig, Config, ConfigError, Setup, StoreSetup, load, load_setup
+from .config import AmqpConfig, Config, ConfigError, Setup, StoreSetup
 from .counters import Counters
 from .descriptors import build_budget, count_open_descriptors
 from .handover import (
@@ -39,7 +38,9 @@
 from .net.resp import RespListener
 from .net.resp.listener import SWEEP_INTERVAL_S, max_balancer_connections
 from .registry import build_subsystems
+from .reload import ConfigurationReload, build_rules
 from .shutdown import Shutdown
+from .state_log import StateLog
 
 if TYPE_CHECKING:
     from .admin import OperatorListener
@@ -48,16 +49,9 @@
     from .store import Store
 
 REPLAY_POLL_INTERVAL_S = 0.01  # between checks for the executor's start and for requests that await an answer
-MAX_TOP_ADDRESSES = 10  # addresses, and as many blocks, that SIGUSR1 logs
 SWEEPS_PER_RECONCILIATION = 8  # sweeps from one count of the open descriptors to the next
 
 
-def build_rules(setup: AdmissionSetup) -> Rules:
-    """Build the admission rules from the `admission` block of the operator's file."""
-    values = {field.name: getattr(setup, field.name) for field in dataclasses.fields(setup)}
-    return Rules(**values | {"known": Networks(setup.known), "relays": Networks(setup.relays)})
-
-
 def _open_store(setup: StoreSetup, clock: Clock, log: Log) -> Store:
     """Open the store.
 
@@ -93,7 +87,6 @@
     ) -> None:
         self.config = config
         self.setup = setup or Setup()
-        self._setup_path = setup_path
         self.clock = Clock()
         self.counters = Counters()
         self.log = Log(self.clock, log_format)
@@ -129,6 +122,20 @@
         self._handover_task: asyncio.Future[None] | None = None
         self._is_serving = False
         self.reporter = Reporter(config.control, config.name, self._ready, self.counters, config.seed)
+        self._reload = ConfigurationReload(
+            config,
+            self.setup,
+            setup_path,
+            self.executor,
+            self.records,
+            self.reporter,
+            self.front,
+            self.counters,
+            self.log,
+        )
+        self._state_log = StateLog(
+            self.log, self.counters, self.front, self.descriptors, self.subsystems, self.store, self.consumer
+        )
         self.shutdown = Shutdown(
             config,
             self.clock,
@@ -279,79 +286,6 @@
         self.lifecycle.on_intent_changed = session.intent_changed
         return link
 
-    def print_counters(self) -> None:
-        """Log all counters; the log's rate limit does not apply."""
-        dropped = {"log.dropped": self.log.dropped} if self.log.dropped else {}
-        store = {} if self.store is None else {f"store.{name}": count for name, count in self.store.metrics().items()}
-        subsystem_metrics = {
-            name: count for subsystem in self.subsystems for name, count in subsystem.metrics().items()
-        }
-        self.log.always(
-            "counters",
-            **dict(sorted(self.counters.counts.items())),
-            **self.front.metrics(),
-            **store,
-            **subsystem_metrics,
-            **dropped,
-        )
-
-    def print_state(self) -> None:
-        """Log the counters, the AMQP consumer's state, the addresses with most connections and the descriptors."""
-        self.print_counters()
-        if self.consumer is not None:
-            self.log.always("amqp.state", **self.consumer.describe())
-        addresses, blocks = self.front.table.top(MAX_TOP_ADDRESSES)
-        self.log.always(
-            "admission.top",
-            addresses=" ".join(f"{name}={count}" for name, count in addresses),
-            blocks=" ".join(f"{name}={count}" for name, count in blocks),
-        )
-        self.log.always("descriptors", **self.descriptors.metrics())
-
-    def reload(self) -> None:
-        """Read the configuration again and switch to its addresses of executor, records service and control plane.
-
-        The whole file is checked before any setting is replaced, so a half-written or invalid file leaves a serving
-        node unchanged."""
-        try:
-            config = load()
-        except ConfigError as error:
-            self.counters.add("reloads.bad")
-            self.log.event("reload.rejected", why=str(error))
-            return
-        reloaded = dataclasses.replace(
-            self.config, executor=config.executor, records=config.records, control=config.control
-        )
-        if reloaded != config:
-            ignored_fields = [
-                field.name
-                for field in dataclasses.fields(reloaded)
-                if getattr(reloaded, field.name) != getattr(config, field.name)
-            ]
-            self.log.event("reload.only_addresses", ignored=",".join(ignored_fields))
-        self.config = reloaded
-        self.executor.move(config.executor)
-        self.records.move(config.records)
-        self.reporter.move(config.control)
-        self.counters.add("reloads")
-        self._reload_setup()
-
-    def _reload_setup(self) -> None:
-        """Apply the admission rules of the operator's file; its other blocks take effect at the next start."""
-        if self._setup_path is None:
-            return
-        try:
-            setup = load_setup(self._setup_path)
-        except ConfigError as error:
-            self.counters.add("reloads.bad")
-            self.log.event("reload.rejected", why=str(error))
-            return
-        if dataclasses.replace(self.setup, admission=setup.admission) != setup:
-            self.log.event("reload.only_admission", file=self._setup_path)
-        if setup.admission != self.setup.admission:
-            self.front.apply(build_rules(setup.admission))
-        self.setup = dataclasses.replace(self.setup, admission=setup.admission)
-
     def _terminate(self, at: float) -> None:
         """Handle SIGTERM, which came at this Unix time."""
         self.log.event("process.told", word="SIGTERM", at=f"{at:.3f}", state=self.lifecycle.state.value)
@@ -365,8 +299,8 @@
             loop,
             {
                 signal.SIGTERM: self._terminate,
-                signal.SIGUSR1: lambda at: self.print_state(),
-                signal.SIGHUP: lambda at: self.reload(),
+                signal.SIGUSR1: lambda at: self._state_log.write_state(),
+                signal.SIGHUP: lambda at: self._reload.reload(),
             },
         ):
             return await self._run()
@@ -404,7 +338,7 @@
         if self.recorder is not None:
             self.front.close_finished_replays()
             self.recorder.close()
-        self.print_counters()
+        self._state_log.write_counters()
         self._close_store()
         return 0
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -44,7 +44,7 @@
 from chutepin.counters import Counters
 from chutepin.lifecycle import Lifecycle
 from chutepin.logs import Log
-from chutepin.node import build_rules
+from chutepin.reload import build_rules
 from chutepin.request_metrics import RequestMetrics
 from chutepin.testbench.standins.platform import eventually, free_port
 
