--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -119,8 +119,11 @@
         try:
             if index is None:
                 raise ProtocolError("unknown consumer tag")
-            if content.properties is None or content.body_bytes > self.config.max_body:
-                raise ProtocolError("properties cannot be decoded, or body is too long")
+            if content.properties is None:
+                raise ProtocolError(f"properties: {content.decoding_error}")
+            if content.body_bytes > self.config.max_body:
+                self.counters.add("amqp.body_too_long")
+                raise ProtocolError(f"body of {content.body_bytes} bytes, at most {self.config.max_body} are taken")
             queue = self.config.queues[index]
             request = self._request_from(content, content.properties, queue)
         except ProtocolError as error:
--- a/chutepin/net/amqp/frames.py
+++ b/chutepin/net/amqp/frames.py
@@ -43,7 +43,9 @@
 
 
 def decode(raw: bytes) -> object:
-    """Decode a raw frame. Raises ProtocolError for every error that pamqp raises on malformed input."""
+    """Decode a raw frame. Raises ProtocolError for every error that pamqp raises on malformed input.
+
+    pamqp decodes tables and arrays within each other by recursion, so deep ones raise RecursionError."""
     try:
         return frame.unmarshal(raw)[2]
     except (
@@ -55,5 +57,6 @@
         OSError,
         struct.error,
         AttributeError,
+        RecursionError,
     ) as error:
         raise ProtocolError(f"frame cannot be decoded: {type(error).__name__}") from None
--- a/chutepin/net/amqp/session.py
+++ b/chutepin/net/amqp/session.py
@@ -42,6 +42,7 @@
     body_bytes: int = -1  # -1 until the content header is received
     received_bytes: int = 0
     parts: list[bytes] = field(default_factory=list)
+    decoding_error: str = ""  # why the properties could not be decoded
 
 
 def consumer_tag(index: int) -> str:
@@ -202,8 +203,9 @@
         try:
             decoded = decode(raw)
             content.properties = decoded.properties if isinstance(decoded, header.ContentHeader) else None
-        except ProtocolError:
+        except ProtocolError as error:
             self._counters.add("amqp.undecodable")
+            content.decoding_error = str(error)
         self._deliver_if_complete(content)
 
     def _handle_body(self, content: Content, data: bytes) -> None:
