AMQP file: arrays nested too deeply are a configuration error in one line

What users saw: a TOML file with some 900 arrays in each other ended the start with a traceback and exit code 1.

Cause: tomllib parses arrays by recursion; only ValueError was mapped.

Measured: the new example of test_error_in_amqp_file_names_the_field fails before (RecursionError) and passes after; by hand 100,000 levels: exit code 2, one line.

--- a/chutepin/config/platform.py
+++ b/chutepin/config/platform.py
@@ -187,7 +187,7 @@
         raw = tomllib.loads(Path(path).read_text())
     except OSError as error:
         raise ConfigError(f"amqp: {error.strerror or error}") from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:  # tomllib parses arrays within each other by recursion
         raise ConfigError(f"amqp: not TOML: {error}") from error
     return parse_amqp(raw, settings, environment)
 
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -275,6 +275,7 @@
         ("[broker]", "[brokers]", "amqp.brokers"),
         ('team = "bernard-lodge"', 'team = "x"', "queue.0.team"),
         ("[broker]", "[", "amqp"),
+        ("[broker]", f"a = {'[' * 2000}{']' * 2000}\n[broker]", "amqp"),  # tomllib raises RecursionError
     ],
 )
 def test_error_in_amqp_file_names_the_field(old: str, new: str, field: str, tmp_path: Path) -> None:
