--- a/chutepin/broker/actions.py
+++ b/chutepin/broker/actions.py
@@ -52,7 +52,7 @@
         if not is_in_time or self._has_run_at_peer(attempt) or not self._idempotent.start_run(attempt):
             self._reports.append(RunEnded(id, End.NOT_STARTED))
             return
-        self._recent_runs.started(id, self._clock.now(), attempt.idempotency is Idempotency.KEYED)
+        self._recent_runs.started(id, self._clock.now(), attempt.is_keyed)
         attempt.phase = Phase.RUNNING
         self._counters.add("runs")
         self._attempts.count_run()
--- a/chutepin/broker/attempts.py
+++ b/chutepin/broker/attempts.py
@@ -50,6 +50,11 @@
     call_started_at: float = 0.0
     answer_deadline: float = 0.0  # when the broker itself answers; replaces earlier deadlines
 
+    @property
+    def is_keyed(self) -> bool:
+        """Return whether the request runs at most once under its key."""
+        return self.idempotency is Idempotency.KEYED or self.request.is_deduplicated
+
     @property
     def held_bytes(self) -> int:
         """The memory counted for the attempt; its body is held a second time in the command to the executor."""
@@ -139,7 +144,7 @@
         if attempt is None:
             return
         self.held_bytes -= attempt.held_bytes
-        if attempt.idempotency is Idempotency.KEYED:
+        if attempt.is_keyed:
             self.on_keyed_attempt_removed(attempt.request)
         if not self._counters.check_invariant(not attempt.awaiting_response, "answered before forgotten"):
             answer = Answer(Verdict.FAILED, value=self._status.value)
--- a/chutepin/broker/core.py
+++ b/chutepin/broker/core.py
@@ -150,7 +150,7 @@
         if cls is None or not self._intake.is_well_formed(request, cls, now):
             self._answer_without_attempt(request, caller, MALFORMED)
             return
-        is_keyed = cls.idempotency is Idempotency.KEYED
+        is_keyed = cls.idempotency is Idempotency.KEYED or request.is_deduplicated
         record = self.keys.find(request.key, request.arrived) if is_keyed else None
         if record is None and request.id in self.recent_runs:
             self._answer_without_attempt(request, caller, REPEATED)
@@ -170,7 +170,7 @@
         attempt = Attempt(request, caller, cls.idempotency)
         self._attempts.add(attempt)
         if ownership is KeyOwnership.ASK_PEER:
-            self._request_key(attempt, now, cls.window)
+            self._request_key(attempt, now, key_lifetime_s)
             return
         self._request_admission(attempt, record)
 
@@ -188,18 +188,34 @@
         self._counters.add(refusal.counter)
         self._attempts.send_answer(request.cls, caller, Answer(refusal.verdict, value=self.status.value))
 
-    def _request_key(self, attempt: Attempt, now: float, window_s: float) -> None:
+    def _request_key(self, attempt: Attempt, now: float, key_lifetime_s: float) -> None:
         """Request an attempt's key from the peer process."""
         request = attempt.request
         attempt.phase = Phase.REQUESTING_KEY
         self._schedule.set_answer_deadline(attempt, min(request.due, now + KEY_REQUEST_TIMEOUT_S))
-        expires_at = request.arrived + window_s
+        expires_at = request.arrived + key_lifetime_s
         self.peer.request_key(KeyRequest(request.id, request.key or "", fingerprint(request), expires_at))
 
     def _request_admission(self, attempt: Attempt, record: IdempotencyRecord | None) -> None:
-        """Pass a request to the decision module and set its answer deadline."""
+        """Pass a request to the decision module and set its answer deadline.
+
+        A deduplicated repeat does not reach the module, which knows no keys of its class."""
         request = attempt.request
         now = self._clock.now()
+        if request.is_deduplicated and record is not None:
+            self._decisions.run(lambda: self._idempotent.share_result(attempt))
+        else:
+            self._pick(attempt, record, now)
+        if request.id in self._attempts.by_id:
+            deadline = self.classes[request.cls].deadline
+            answer_deadline = max(now, min(request.due, now + deadline)) + ANSWER_GRACE_S
+            self._schedule.set_answer_deadline(self._attempts.by_id[request.id], answer_deadline)
+
+    def _pick(self, attempt: Attempt, record: IdempotencyRecord | None, now: float) -> None:
+        """Pass a request to the decision module, with the request that it repeats if its key is known."""
+        request = attempt.request
+        if request.is_deduplicated:
+            self._idempotent.reserve(attempt, request.arrived + request.min_key_lifetime_s)
         pending = PendingRequest(
             request.id,
             request.cls,
@@ -214,10 +230,6 @@
             (record.run_id or record.holder_id) if record else None,
         )
         self._decisions.run(lambda: self._facade.pick(now, pending))
-        if request.id in self._attempts.by_id:
-            deadline = self.classes[request.cls].deadline
-            answer_deadline = max(now, min(request.due, now + deadline)) + ANSWER_GRACE_S
-            self._schedule.set_answer_deadline(self._attempts.by_id[request.id], answer_deadline)
 
     def caller_disconnected(self, id: str) -> None:
         """Record that a caller has disconnected and no answer is due."""
--- a/chutepin/broker/idempotent.py
+++ b/chutepin/broker/idempotent.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 from ..counters import Counters
-from ..decision import Idempotency, RequestClass
+from ..decision import RequestClass
 from ..facade import End, Report, RunEnded
 from ..idempotency import IdempotencyTable
 from .attempts import Attempt, OpenAttempts, Phase
@@ -37,7 +37,7 @@
 
     def is_awaited(self, attempt: Attempt) -> bool:
         """Return whether other attempts wait for the result of this attempt's run."""
-        if attempt.idempotency is not Idempotency.KEYED:
+        if not attempt.is_keyed:
             return False
         return self._table.is_awaited(attempt.request.key or "", attempt.request.id)
 
@@ -60,13 +60,13 @@
         record = self._table.records.get(request.key or "")
         if record is None or record.holder_id != request.id or record.has_run or record.owned_by_peer:
             return
-        self.answer_waiters(self._table.remove(record), End.ERROR, b"")
+        self.answer_waiters(self._table.remove(record), End.NOT_STARTED, b"")
 
     def start_run(self, attempt: Attempt) -> bool:
         """Claim the run of an attempt's key; return false if the attempt must not run.
 
         A key runs at most once within its window, and only after its claim is certain to reach the peer process."""
-        if attempt.idempotency is not Idempotency.KEYED:
+        if not attempt.is_keyed:
             return True
         request = attempt.request
         key = request.key or ""
@@ -80,13 +80,13 @@
         self._counters.add("keys.peer_not_notified")
         record = self._table.records.get(key)
         if record is not None:
-            self.answer_waiters(self._table.remove(record), End.ERROR, b"")
+            self.answer_waiters(self._table.remove(record), End.NOT_STARTED, b"")
         self._attempts.reject(attempt)
         return False
 
     def finish_run(self, attempt: Attempt, end: End, result: bytes) -> None:
         """Record the outcome of an attempt's run and answer the attempts that waited for it."""
-        if attempt.idempotency is not Idempotency.KEYED:
+        if not attempt.is_keyed:
             return
         key = attempt.request.key or ""
         is_served = end is End.OK and key in self._table.records
@@ -125,6 +125,8 @@
         self._counters.add("answers.shared")
         if end is End.OK:
             self._attempts.serve(attempt, result)
+        elif end is End.NOT_STARTED and attempt.request.is_deduplicated:
+            self._attempts.reject(attempt)
         else:
             self._attempts.fail(attempt)
         self._reports.append(RunEnded(id, end))
--- a/chutepin/broker/requests.py
+++ b/chutepin/broker/requests.py
@@ -44,6 +44,7 @@
     is_retry: bool = False
     executor_detects_end: bool = True  # whether the executor detects by itself that the request is over
     min_key_lifetime_s: float = 0.0  # from the arrival; the key's record is kept at least this long
+    is_deduplicated: bool = False  # by its key, although its class has no keys: a repeat that its listener cannot avoid
 
 
 def fingerprint(request: Request) -> bytes:
--- a/chutepin/net/amqp/consumer.py
+++ b/chutepin/net/amqp/consumer.py
@@ -192,13 +192,13 @@
     def lost(self, session: Session) -> None:
         """Handle the loss of a link.
 
-        Requests that are safe to repeat are dropped, as the AMQP broker delivers them again. Requests with a key go
-        on, so that the redelivery finds the result."""
+        Requests that are safe to repeat are dropped, as the AMQP broker delivers them again. The others go on, so that
+        the redelivery finds the result."""
         session.lost()
         for id, delivery in list(self._open_deliveries.items()):
             if delivery.session is session:
                 del self._open_deliveries[id]
-                if not self._is_keyed(delivery.queue):
+                if self._may_repeat(delivery.queue):
                     self.broker.caller_disconnected(id)
 
     def update_consumption(self, session: Session) -> None:
@@ -218,14 +218,14 @@
 
     def _may_consume(self, index: int) -> bool:
         """Return whether a queue can be consumed: a delivery whose key is in doubt fails and is not delivered again."""
-        if not self._is_keyed(index):
+        if self._may_repeat(index):
             return True
         window_s = self.broker.classes[self.config.queues[index].cls].window
         return not self.broker.are_unknown_keys_in_doubt(max(window_s, self.config.redelivery_window))
 
-    def _is_keyed(self, index: int) -> bool:
-        """Return whether the requests of a queue have idempotency keys."""
-        return self.broker.classes[self.config.queues[index].cls].idempotency is Idempotency.KEYED
+    def _may_repeat(self, index: int) -> bool:
+        """Return whether the requests of a queue may run again when they are delivered again."""
+        return self.broker.classes[self.config.queues[index].cls].idempotency is Idempotency.IDEMPOTENT
 
     def leave(self) -> None:
         """Stop consuming."""
--- a/chutepin/net/amqp/requests.py
+++ b/chutepin/net/amqp/requests.py
@@ -30,9 +30,9 @@
     redelivery_window_s: float,
 ) -> Request:
     """Build the request of a complete delivery. Raises ProtocolError for one that can never be served."""
-    keyed = contract.idempotency is Idempotency.KEYED
+    may_repeat = contract.idempotency is Idempotency.IDEMPOTENT
     key = properties.message_id
-    if keyed and not key:
+    if not may_repeat and not key:
         raise ProtocolError("work order without message-id")
     return Request(
         id=new_id(),
@@ -42,11 +42,12 @@
         due=min(now + contract.deadline, deadline_of(properties, now)),
         size=queue.held_kb,
         tenant=queue.team,
-        key=f"amqp {queue.name} {key}" if keyed else None,
+        key=f"amqp {queue.name} {key}" if not may_repeat else None,
         rank=rank,
         is_retry=bool(content.deliver.redelivered),
         executor_detects_end=False,
         min_key_lifetime_s=redelivery_window_s,
+        is_deduplicated=contract.idempotency is Idempotency.NOT_IDEMPOTENT,
     )
 
 
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import socket
 import struct
 import tempfile
@@ -10,6 +11,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import strategies as st
@@ -36,6 +38,7 @@
     broker: StandinBroker,
     prefetch: int = 32,
     stop_ms: int = 1500,
+    env: dict[str, Any] = ENV,
 ) -> None:
     """Run a test with the real program between the stand-ins, consuming from the stand-in broker."""
 
@@ -47,7 +50,7 @@
         async with AsyncExitStack() as stack:
             await broker.start(stack)
             world = Standins()
-            world.stop_ms = stop_ms
+            world.env, world.stop_ms = copy.deepcopy(env), stop_ms
             path = Path(stack.enter_context(tempfile.TemporaryDirectory())) / "amqp.toml"
             text = (ROOT / "deploy" / "amqp.toml").read_text()
             text = text.replace("prefetch = 32", f"prefetch = {prefetch}")
@@ -59,7 +62,16 @@
     asyncio.run(run())
 
 
-def test_no_write_runs_twice_under_random_redelivery() -> None:
+def with_effect(effect: str) -> dict[str, Any]:
+    """Return the tests' settings with another effect of work orders."""
+    env = copy.deepcopy(ENV)
+    env["categories"][2]["idempotency"] = effect
+    return env
+
+
+# Guards against a second run of a class whose requests have no keys at the platform's listener (side_effect).
+@pytest.mark.parametrize("effect", ["token", "side_effect"])
+def test_no_write_runs_twice_under_random_redelivery(effect: str) -> None:
     async def test(world: Standins, broker: StandinBroker) -> None:
         orders = [broker.put(ORDERS, b"order %d" % n, message_id=f"order-{n}", reply_to="depot") for n in range(60)]
         reads = [broker.put(STATUS, b"read %d" % n) for n in range(20)]
@@ -73,7 +85,7 @@
         assert len(answered) == 60, "a redelivery was answered with another result"
         await world.leave()
 
-    run_with_broker(test, StandinBroker(seed=3, cuts=0.1, lost_acks=0.15))
+    run_with_broker(test, StandinBroker(seed=3, cuts=0.1, lost_acks=0.15), env=with_effect(effect))
 
 
 def test_redelivery_during_drain_is_answered_and_not_run() -> None:
@@ -288,9 +300,9 @@
 class Links(RuleBasedStateMachine):
     """Model of the unsettled deliveries of the current link: deliveries, ends of runs, lost links and time."""
 
-    @initialize()
-    def set_up(self) -> None:
-        self.core, self.sent = Core(), list[bytes]()
+    @initialize(effect=st.sampled_from(["token", "side_effect"]))
+    def set_up(self, effect: str) -> None:
+        self.core, self.sent = Core(with_effect(effect)), list[bytes]()
         self.consumer, self.session = quiet_session(self.sent, self.core)
         self.tag, self.open, self.settled = 0, set[int](), set[int]()
         self.keys: dict[str, int] = {}
--- a/tests/test_amqp_upgrade.py
+++ b/tests/test_amqp_upgrade.py
@@ -12,6 +12,7 @@
 
 from chutepin.config import load_amqp, parse
 from chutepin.decision import simulator_protocol as wire
+from chutepin.facade import End
 from chutepin.handover import HandoverStateMachine
 from chutepin.handover.state_machine import Event
 from chutepin.idempotency import KeyOwnership, KeyRequest
@@ -23,7 +24,7 @@
 from chutepin.testbench.standins.platform import EVENTUALLY_TIMEOUT_S, EXAMPLE, eventually
 
 from .helper import ENV, ROOT, WINDOW, Core, Standins
-from .test_amqp import SECRET, STATUS
+from .test_amqp import ORDERS, SECRET, STATUS, with_effect
 from .test_handover import wait_until_ready
 
 CONFIG = load_amqp(str(ROOT / "deploy" / "amqp.toml"), wire.parse_settings(ENV), SECRET)
@@ -138,6 +139,68 @@
     asyncio.run(asyncio.wait_for(test(), EVENTUALLY_TIMEOUT_S))
 
 
+# Guards against a second run at the successor, of a class whose requests have no keys at the platform's listener.
+@pytest.mark.parametrize("effect", ["token", "side_effect"])
+def test_order_redelivered_to_the_successor_gets_the_result_of_the_predecessors_run(effect: str) -> None:
+    async def test() -> None:
+        async with AsyncExitStack() as stack:
+            old, new = Standins(), Standins()
+            old.env, new.env = with_effect(effect), with_effect(effect)
+            old.environ = {"TMPDIR": stack.enter_context(tempfile.TemporaryDirectory())}
+            old_broker = await start_with_broker(stack, old)
+            await wait_until_ready(old)
+            first = old_broker.put(ORDERS, b"order", message_id="1", reply_to="depot")
+            await eventually(lambda: first.settled)
+            new.environ, new.listen_port = old.environ, old.port
+            new_broker = await start_with_broker(stack, new)
+            await wait_until_ready(new)
+            again = new_broker.put(ORDERS, b"order", message_id="1", reply_to="depot")
+            await eventually(lambda: again.settled)
+            assert first.settled == again.settled == "ack"
+            assert [body for _, _, body in new_broker.replies] == [body for _, _, body in old_broker.replies]
+            assert len(old.runs) == 1 and not new.runs
+
+    asyncio.run(asyncio.wait_for(test(), EVENTUALLY_TIMEOUT_S))
+
+
+class Delivery:
+    """A delivery of an order whose class has no keys at the platform's listener."""
+
+    def __init__(self, core: Core, id: str) -> None:
+        self.core, self.id = core, id
+        core.pick(id, "work-order", key="amqp 1", body=b"order", is_deduplicated=True, min_key_lifetime_s=900.0)
+
+    @property
+    def words(self) -> list[str]:
+        return self.core.words(self.id)
+
+
+# Guards against an order that fails, although it never ran, because its redelivery waited for the first delivery.
+def test_redelivery_of_an_order_that_is_rejected_before_its_run_is_rejected_too() -> None:
+    core = Core(with_effect("side_effect"))
+    core.broker.peer_exchange.set_peer_usage(10**6, 0.0)  # no capacity: the first one is queued
+    first, again = Delivery(core, "first"), Delivery(core, "again")
+    assert not first.words and not again.words
+    core.pass_time(16.0)  # beyond the deadline
+    assert first.words == ["refused"] and again.words == ["refused"] and not core.ports.ids("exec")
+    core.broker.peer_exchange.set_peer_usage(0, 0.0)
+    third = Delivery(core, "third")
+    core.pass_time(0.2)
+    core.end("third")
+    assert core.ports.ids("exec") == ["third"] and third.words == ["served"]
+
+
+@pytest.mark.parametrize("end", [End.OK, End.ERROR, End.CANCELLED], ids=lambda end: end.value)
+def test_redelivery_of_an_order_that_ran_shares_the_end_of_its_run(end: End) -> None:
+    core = Core(with_effect("side_effect"))
+    first, during = Delivery(core, "first"), Delivery(core, "during")
+    core.end("first", end)
+    after = Delivery(core, "after")
+    verdict = "served" if end is End.OK else "failed"
+    assert core.ports.ids("exec") == ["first"]
+    assert first.words == during.words == after.words == [verdict]
+
+
 def test_doubt_of_the_predecessor_holds_for_keys_of_any_lifetime() -> None:
     """The predecessor tells when the doubt ends, and not when it began."""
     machine = HandoverStateMachine(900.0)
