--- a/chutepin/cli/soak.py
+++ b/chutepin/cli/soak.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import json
+import signal
 import sys
 from pathlib import Path
 from typing import Any
 
 import click
 
+from chutepin.testbench.signals import run_until_terminated, send_signal
 from chutepin.testbench.soak import draw, make_report, play, write_report
 
 from .output import show_json, show_table, use_json
@@ -51,7 +53,7 @@
     if len(seeds) == 1:
         reports = [_run_in_process(seeds[0], seconds, crowd, out)]
     else:
-        reports = asyncio.run(_run_subprocesses(seeds, seconds, crowd, jobs, out))
+        reports = run_until_terminated(_run_subprocesses(seeds, seconds, crowd, jobs, out))
     for report in reports:
         if report["text"]:
             click.echo(report["text"], err=True)
@@ -65,7 +67,7 @@
 
 def _run_in_process(seed: int, seconds: float, crowd: bool, out: Path | None) -> dict[str, Any]:
     schedule = draw(seed, seconds, crowd)
-    books = asyncio.run(play(schedule))
+    books = run_until_terminated(play(schedule))
     report = make_report(schedule, books)
     if out is not None:
         write_report(out, report, schedule, books)
@@ -88,7 +90,11 @@
                 stdout=asyncio.subprocess.PIPE,
                 stderr=asyncio.subprocess.PIPE,
             )
-            output, errors = await process.communicate()
+            try:
+                output, errors = await process.communicate()
+            finally:
+                if send_signal(process, signal.SIGTERM):  # the run was cancelled
+                    await process.wait()
         if not output:
             return {"seed": seed, "counts": {}, "by_check": {"soak broke off": 1}, "text": errors.decode()}
         report: dict[str, Any] = json.loads(output)
--- a/chutepin/testbench/signals.py
+++ b/chutepin/testbench/signals.py
@@ -8,6 +8,12 @@
 import asyncio
 import os
 import signal
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+TERMINATED_EXIT_CODE = 128 + signal.SIGTERM
+
+Result = TypeVar("Result")
 
 
 def send_signal(process: asyncio.subprocess.Process, number: int) -> bool:
@@ -32,3 +38,29 @@
         return os.waitid(os.P_PID, pid, os.WEXITED | os.WNOHANG | os.WNOWAIT) is not None
     except ChildProcessError:
         return True
+
+
+def run_until_terminated(coroutine: Coroutine[Any, Any, Result]) -> Result:
+    """Run a coroutine as `asyncio.run` does; SIGTERM cancels it, as Ctrl-C does, so that it ends its processes.
+
+    Raises SystemExit after SIGTERM."""
+    is_terminated = False
+
+    async def run() -> Result:
+        task = asyncio.current_task()
+        assert task is not None
+
+        def terminate() -> None:
+            nonlocal is_terminated
+            is_terminated = True
+            task.cancel()
+
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, terminate)
+        return await coroutine
+
+    try:
+        return asyncio.run(run())
+    except asyncio.CancelledError:
+        if not is_terminated:
+            raise
+        raise SystemExit(TERMINATED_EXIT_CODE) from None
--- a/chutepin/testbench/soak/play.py
+++ b/chutepin/testbench/soak/play.py
@@ -74,10 +74,10 @@
                 while not (await self.call("ready")).startswith("SUCCESS"):
                     await asyncio.sleep(POLL_INTERVAL_S)
         except TimeoutError:
+            raise StartError(f"{self.observed.name} was not ready in {START_TIMEOUT_S} s") from None
+        finally:
             start_task.cancel()
             await asyncio.gather(start_task, return_exceptions=True)
-            await self._await_end(math.inf)
-            raise StartError(f"{self.observed.name} was not ready in {START_TIMEOUT_S} s") from None
         self.observed.ready_at = time.time()
 
     async def send_signals(self, signals: tuple[TimedSignal, ...]) -> None:
@@ -119,6 +119,13 @@
         signal_task.cancel()
         await asyncio.gather(signal_task, return_exceptions=True)
 
+    async def end_now(self) -> None:
+        """Kill the process if it still runs, and release its stand-ins."""
+        if self.standins.process is None:
+            await self._stack.aclose()
+        elif self.observed.ended_at == math.inf:
+            await self._await_end(math.inf)
+
     async def _await_end(self, kill_at: float) -> None:
         """Wait until the process ends or kill it at `kill_at`; `math.inf` kills it now. Record its end."""
         process = self.standins.process
@@ -161,9 +168,17 @@
         self._port = 0
         self._chain = 0
         self._leave_task: asyncio.Task[None] | None = None  # ends the process that has handed over
+        self._processes: list[Process] = []
 
     async def play(self) -> None:
-        """Play the lifetimes of all processes. Raises StartError."""
+        """Play the lifetimes of all processes, and end them all however the play ends. Raises StartError."""
+        try:
+            await self._play()
+        finally:
+            for process in self._processes:
+                await process.end_now()
+
+    async def _play(self) -> None:
         self._port = await free_port()
         process = self._new_process()
         await process.start(self._schedule.lives[0].start_signals)
@@ -224,7 +239,9 @@
         standins.program = ROOT
         stack = AsyncExitStack()
         standins.log = stack.enter_context(log_path.open("wb"))
-        return Process(observed, standins, stack, log_path)
+        process = Process(observed, standins, stack, log_path)
+        self._processes.append(process)
+        return process
 
     async def _start_crowd(self) -> FloodProcess | None:
         if not self._schedule.has_crowd:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import importlib
 import math
+import os
+import signal
+import sys
+import tempfile
 from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 
+from chutepin.testbench.signals import kill, send_signal
 from chutepin.testbench.soak import Observations, draw, make_report, play, violations
 from chutepin.testbench.soak.books import (
     CloseCause,
@@ -19,12 +27,82 @@
     ObservedRequest,
     ObservedRun,
 )
-from chutepin.testbench.soak.schedule import SIGTERM, Ending
+from chutepin.testbench.soak.play import Player, Process
+from chutepin.testbench.soak.schedule import SIGTERM, Ending, Schedule
+from chutepin.testbench.standins.platform import eventually
+
+from .helper import ROOT
+
+PLAY_MODULE = importlib.import_module("chutepin.testbench.soak.play")  # the package's name `play` is its function
 
 SOAK_S = 5.0
 SOAKS = [(1, False), (2, False), (3, False), (4, True)]  # (seed, crowd)
 
 
+def is_running(pid: int) -> bool:
+    """Return whether a process runs; one that has ended and was not waited for does not."""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except OSError:
+        return False
+
+
+def node_pids(directory: Path) -> set[int]:
+    """Return the processes whose `TMPDIR` lies in a directory: the nodes of a play."""
+    found = set()
+    for path in Path("/proc").glob("[0-9]*"):
+        with contextlib.suppress(OSError):
+            if f"TMPDIR={directory}/".encode() in (path / "environ").read_bytes() and is_running(int(path.name)):
+                found.add(int(path.name))
+    return found
+
+
+# Guards against nodes that a play leaves behind, which join the addresses of later tests.
+def test_play_whose_successor_is_never_ready_leaves_no_process(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    monkeypatch.setattr(PLAY_MODULE, "START_TIMEOUT_S", 4.0)
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+    new_process = Player._new_process
+
+    def new_process_that_sleeps(self: Player) -> Process:
+        process = new_process(self)
+        if process.observed.name != "process 1":
+            process.standins.shell_command = "exec sleep 60"
+        return process
+
+    monkeypatch.setattr(Player, "_new_process", new_process_that_sleeps)
+    schedule = next(schedule for schedule in (draw(seed, 3.0, False) for seed in range(50)) if has_upgrade(schedule))
+    observations = asyncio.run(play(schedule))
+    assert [process.name for process in observations.processes] == ["process 1", "process 2"]
+    found = {violation.check for violation in violations(observations)}
+    assert "ready" in found and "crash" not in found
+    assert not node_pids(tmp_path)
+
+
+def has_upgrade(schedule: Schedule) -> bool:
+    return len(schedule.lives) > 1 and schedule.lives[0].ending is Ending.UPGRADE
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT], ids=lambda number: number.name)
+def test_soak_that_is_ended_by_a_signal_leaves_no_process(number: signal.Signals, tmp_path: Path) -> None:
+    async def run() -> None:
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "chutepin", "lab", "soak", "--seed", "1", "--seconds", "30"),
+            cwd=ROOT,
+            env={**os.environ, "TMPDIR": str(tmp_path)},
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        try:
+            await eventually(lambda: node_pids(tmp_path))
+            send_signal(process, number)
+            assert await process.wait() != 0
+            assert not node_pids(tmp_path)
+        finally:
+            kill(process)
+
+    asyncio.run(run())
+
+
 def valid_observations() -> Observations:
     """Return observations without a violation: two served requests under one key on a connection closed by the node."""
     connection = ObservedConnection(1, 100.0, bye_at=109.0, closed_at=110.0, closed_by=CloseCause.NODE)
