--- a/chutepin/admission/descriptor_budget.py
+++ b/chutepin/admission/descriptor_budget.py
@@ -30,6 +30,12 @@
         }
         self.unattributed = in_use  # open descriptors that no part accounts for
 
+    def reserve(self, name: str, descriptors: int) -> None:
+        """Change the reserved share of a part; a part that is new to the budget may hold its reserve at most."""
+        share = self.parts.setdefault(name, DescriptorShare(0, 0))
+        share.reserved = descriptors
+        share.maximum = max(share.maximum, descriptors)
+
     @property
     def in_use(self) -> int:
         """Number of descriptors held by all parts."""
--- a/chutepin/descriptors.py
+++ b/chutepin/descriptors.py
@@ -15,6 +15,15 @@
         return None
 
 
+SUCCESSOR = "successor"  # part that keeps room for the start of a successor process during an upgrade
+SUCCESSOR_DESCRIPTORS = 28  # interpreter and sockets of its own, its reserved shares, and a few clients
+
+
+def successor_reserve(limit: int) -> int:
+    """Return how many descriptors a node of this limit keeps for the start of a successor."""
+    return min(SUCCESSOR_DESCRIPTORS, limit // 4)
+
+
 def build_budget(
     limit: int, amqp: bool, store: bool, ops: bool = False, cluster: bool = False, consensus: bool = False
 ) -> DescriptorBudget:
--- a/chutepin/handover_host.py
+++ b/chutepin/handover_host.py
@@ -7,6 +7,7 @@
 from .admission import DescriptorBudget
 from .broker import Broker
 from .clock import Clock
+from .descriptors import SUCCESSOR, successor_reserve
 from .handover import IntentFile, ProcessUsage
 from .idempotency import IdempotencyRecord, KeyRequest
 from .lifecycle import Event, Lifecycle, NewClients, Peer
@@ -102,6 +103,9 @@
     def set_peer_usage(self, usage: ProcessUsage) -> None:
         """Deduct the usage of the peer process from this process's limits."""
         self._descriptors.limit = self._max_descriptors - usage.descriptors
+        # A peer process has its descriptors; without one they are kept for a successor.
+        has_peer = usage.descriptors > 0
+        self._descriptors.reserve(SUCCESSOR, 0 if has_peer else successor_reserve(self._max_descriptors))
         self._broker.peer_exchange.set_peer_usage(usage.running, usage.memory_kb)
 
     def is_leaving(self) -> bool:
--- a/chutepin/node.py
+++ b/chutepin/node.py
@@ -18,7 +18,7 @@
 from .clock import Clock
 from .config import AmqpConfig, Config, ConfigError, Setup, StoreSetup
 from .counters import Counters
-from .descriptors import build_budget, count_open_descriptors
+from .descriptors import SUCCESSOR, build_budget, count_open_descriptors, successor_reserve
 from .handover import (
     HandoverLink,
     HandoverSession,
@@ -282,6 +282,7 @@
             self.lifecycle.apply(Event.PREDECESSOR_FOUND)
         else:
             intent_file.remove()
+            self.descriptors.reserve(SUCCESSOR, successor_reserve(self.sockets))
 
         self.lifecycle.on_intent_changed = session.intent_changed
         return link
